--- /dev/null
+++ b/cmd/waxwingpickd/main.go
@@ -0,0 +1,20 @@
+// Command waxwingpickd runs the processes of the serving system.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"waxwingpick/internal/daemon"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(daemon.EntryCommand(), "")
+	subcommands.Register(daemon.SidecarCommand(), "")
+	flag.Parse()
+	os.Exit(int(subcommands.Execute(context.Background())))
+}
--- /dev/null
+++ b/config/samples.go
@@ -0,0 +1,9 @@
+// Package samples embeds the sample configuration files.
+package samples
+
+import "embed"
+
+// Files holds tanzplan.yaml and cacaotera.yaml.
+//
+//go:embed *.yaml
+var Files embed.FS
--- /dev/null
+++ b/core/background/doc.go
@@ -0,0 +1,2 @@
+// Package background runs functions in goroutines that their owner waits for when it closes.
+package background
--- /dev/null
+++ b/core/config/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package config_test
+
+const ciRuns = 340
--- /dev/null
+++ b/core/ledger/claim.go
@@ -0,0 +1,76 @@
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"waxwingpick"
+)
+
+// ClaimState is what a claim says about its attempt.
+type ClaimState string
+
+// The states of a claim.
+const (
+	// ClaimOpen says that the attempt may be sent, be running or have run.
+	ClaimOpen ClaimState = "open"
+	// ClaimNotRun says that the attempt was refused before it ran, so a new attempt may take the claim.
+	ClaimNotRun ClaimState = "notRun"
+	// ClaimAnswered says that the attempt ran and the answer is kept.
+	ClaimAnswered ClaimState = "answered"
+	// ClaimUnknown says that nobody can tell any more whether the attempt ran.
+	ClaimUnknown ClaimState = "unknown"
+)
+
+// Claim is the record that names the only attempt that may run for a key.
+type Claim struct {
+	State     ClaimState `json:"state"`
+	BodyHash  string     `json:"bodyHash"`
+	Attempt   Attempt    `json:"attempt"`
+	ClaimedAt time.Time  `json:"claimedAt"`
+	Answer    *Answer    `json:"answer,omitempty"`
+}
+
+// Attempt names one try of an order at one target.
+type Attempt struct {
+	ID       string                 `json:"id"`
+	Service  string                 `json:"service,omitempty"`
+	Target   waxwingpick.TargetID   `json:"target"`
+	Instance waxwingpick.InstanceID `json:"instance"`
+	// Address is the IP address and port of the sidecar's control calls.
+	Address string `json:"address,omitempty"`
+	// Incarnation is what the sidecar's guard announced; it admits the attempt under no other.
+	Incarnation string `json:"incarnation"`
+}
+
+// Answer is a target's answer to an order.
+type Answer struct {
+	Status  int                  `json:"status"`
+	Headers []waxwingpick.Header `json:"headers,omitempty"`
+	Body    []byte               `json:"body,omitempty"`
+}
+
+func (a *Answer) size() int {
+	n := len(a.Body)
+	for _, h := range a.Headers {
+		n += len(h.Name) + len(h.Value)
+	}
+	return n
+}
+
+func (c Claim) encode() []byte {
+	value, err := json.Marshal(c)
+	if err != nil {
+		panic(err) // A claim holds only plain values.
+	}
+	return value
+}
+
+func decodeClaim(value []byte) (Claim, error) {
+	var c Claim
+	if err := json.Unmarshal(value, &c); err != nil {
+		return Claim{}, fmt.Errorf("decode claim: %w", err)
+	}
+	return c, nil
+}
--- /dev/null
+++ b/core/ledger/group_test.go
@@ -0,0 +1,207 @@
+package ledger
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+	"golang.org/x/time/rate"
+
+	"waxwingpick"
+	"waxwingpick/core/timer"
+	"waxwingpick/internal/standin/memkv"
+)
+
+// handover is how entries of a test hand claims to each other.
+type handover string
+
+const (
+	handoverNone    handover = "none"
+	handoverWhole   handover = "whole"
+	handoverFaulty  handover = "faulty"
+	handoverMislead handover = "answers lost and told as not taken"
+)
+
+// tie lets the entries hand their claims to each other's ledgers, with faults as the kind says.
+func tie(kind handover, entries []*grouped) {
+	if kind == handoverNone {
+		return
+	}
+	ids := make([]waxwingpick.InstanceID, len(entries))
+	ledgers := make(map[waxwingpick.InstanceID]*Ledger)
+	for i, g := range entries {
+		ids[i] = waxwingpick.InstanceID(fmt.Sprintf("entry-%d", i))
+		ledgers[ids[i]] = &Ledger{
+			kv: g,
+		}
+	}
+	for i, g := range entries {
+		var calls atomic.Uint64
+		var clock atomic.Int64
+		g.owners = NewOwners(ids[i])
+		g.owners.SetEntries(ids)
+		// Each entry's clock runs at another speed, so that they seldom agree on who is passed over.
+		g.now = func() time.Time { return time.Unix(clock.Add(int64(i+1)), 0) }
+		g.hand = func(ctx context.Context, owner waxwingpick.InstanceID, writes []ClaimWrite) ([]WriteResult, error) {
+			n := calls.Add(1)
+			if kind == handoverFaulty && n%5 == 0 {
+				return nil, ErrNotTaken
+			}
+			results, err := ledgers[owner].Commit(ctx, writes)
+			switch {
+			case kind == handoverFaulty && n%7 == 0:
+				return nil, context.DeadlineExceeded
+			case kind == handoverMislead && n%7 == 0:
+				return nil, ErrNotTaken
+			}
+			return results, err
+		}
+	}
+}
+
+// TestGroupedClaimsSwapLikeSingleOnes counts in claims by compare-and-swap through three entries with faults:
+// each success counts once, a write with a lost answer at most once, and a refused one not at all.
+func TestGroupedClaimsSwapLikeSingleOnes(t *testing.T) {
+	for _, kind := range []handover{handoverNone, handoverWhole, handoverFaulty} {
+		t.Run(string(kind), func(t *testing.T) {
+			require.NoError(t, countThroughEntries(t, kind))
+		})
+	}
+	// An entry that calls a lost answer "not taken" writes twice: a count is told as refused that took effect.
+	require.Error(t, countThroughEntries(t, handoverMislead))
+}
+
+// countThroughEntries returns how a count differs from what the entries were told.
+func countThroughEntries(t *testing.T, kind handover) error {
+	const claims, rounds = 6, 100
+	store := memkv.New(timer.NewManual(time.Now()))
+	var keys [claims]string
+	var sure, perhaps [claims]atomic.Int64
+	for i := range keys {
+		keys[i] = NewKey("tanzplan", uuid.Must(uuid.NewV7()).String()).Path()
+	}
+	var wg conc.WaitGroup
+	var entries [3]*grouped
+	for entry := range entries {
+		client := store.Client()
+		var calls atomic.Uint64
+		client.SetFate(func(waxwingpick.KeyValueCall) memkv.Fate {
+			return memkv.Fates()[calls.Add(1)%9/5*(calls.Load()%4)]
+		})
+		entries[entry] = newGrouped(client, func(context.Context) error { return nil })
+	}
+	tie(kind, entries[:])
+	for entry, kv := range entries {
+		source := rand.New(rand.NewPCG(1, uint64(entry)))
+		for range 4 {
+			first := source.IntN(claims)
+			wg.Go(func() {
+				for round := range rounds {
+					i := (first + round) % claims
+					switch err := count(kv, keys[i]); {
+					case err == nil:
+						sure[i].Add(1)
+					case errors.Is(err, waxwingpick.ErrUnknownOutcome):
+						perhaps[i].Add(1)
+					}
+				}
+			})
+		}
+	}
+	wg.Wait()
+	for _, kv := range entries {
+		kv.close()
+	}
+	last := newGrouped(store.Client(), nil)
+	for i, key := range keys {
+		e, err := last.Get(context.Background(), key)
+		require.NoError(t, err)
+		require.Positive(t, sure[i].Load())
+		least, most := sure[i].Load(), sure[i].Load()+perhaps[i].Load()
+		if n := number(e); n < least || n > most {
+			return fmt.Errorf("claim %d counts %d, not %d to %d", i, n, least, most)
+		}
+	}
+	return nil
+}
+
+// count raises the number in a claim by one.
+func count(kv waxwingpick.KeyValue, key string) error {
+	e, err := kv.Get(context.Background(), key)
+	if err != nil {
+		return err
+	}
+	_, err = kv.CompareAndSwap(context.Background(), key, e.Revision, fmt.Append(nil, number(e)+1), 0)
+	return err
+}
+
+func number(e waxwingpick.Entry) int64 {
+	var n int64
+	_, _ = fmt.Sscan(string(e.Value), &n)
+	return n
+}
+
+// BenchmarkGroupedClaims reports the claims that one write commits when the entries share 300 writes
+// a second, a call takes 5 ms, and a fixed number of claims arrives at once.
+func BenchmarkGroupedClaims(b *testing.B) {
+	for _, entries := range []int{1, 3, 40, 400} {
+		for _, arrivals := range []int{1, 100, 1000} {
+			for _, kind := range []handover{handoverNone, handoverWhole} {
+				b.Run(fmt.Sprintf("entries=%d/arrivals=%d/handover=%s", entries, arrivals, kind), func(b *testing.B) {
+					benchmarkGroupedClaims(b, entries, arrivals, kind)
+				})
+			}
+		}
+	}
+}
+
+func benchmarkGroupedClaims(b *testing.B, entries, arrivals int, kind handover) {
+	timers := timer.NewSystem()
+	defer timers.Close()
+	store := memkv.New(timers)
+	store.SetDelay(5 * time.Millisecond)
+	var kvs []*grouped
+	for range entries {
+		limiter := rate.NewLimiter(rate.Limit(300/float64(entries)), 1)
+		kvs = append(kvs, newGrouped(store.Client(), limiter.Wait))
+	}
+	tie(kind, kvs)
+	for _, kv := range kvs {
+		if kind == handoverNone {
+			break
+		}
+		first, _ := kv.owners.Shares()
+		limiter := rate.NewLimiter(rate.Limit(300*float64(first)/ClaimShards), 1)
+		kv.wait = limiter.Wait
+	}
+	claim := Claim{
+		State:    ClaimOpen,
+		BodyHash: HashCall(waxwingpick.CallRequest{}),
+	}
+	value := claim.encode()
+	var placed atomic.Int64
+	for b.Loop() {
+		var wg conc.WaitGroup
+		for i := range arrivals {
+			wg.Go(func() {
+				key := NewKey("tanzplan", uuid.Must(uuid.NewV7()).String())
+				if _, err := kvs[i%entries].CompareAndSwap(context.Background(), key.Path(), 0, value, 0); err == nil {
+					placed.Add(1)
+				}
+			})
+		}
+		wg.Wait()
+	}
+	writes := store.Calls(waxwingpick.CallSwap)
+	b.ReportMetric(float64(placed.Load())/float64(writes), "claims/write")
+	b.ReportMetric(float64(store.Calls(waxwingpick.CallGet))/float64(writes), "reads/write")
+	b.ReportMetric(float64(placed.Load())/b.Elapsed().Seconds(), "claims/s")
+	b.ReportMetric(float64(writes)/b.Elapsed().Seconds(), "writes/s")
+}
--- /dev/null
+++ b/core/ledger/ledger_test.go
@@ -0,0 +1,155 @@
+package ledger_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"waxwingpick"
+	"waxwingpick/core/ledger"
+	"waxwingpick/internal/rapidtest"
+)
+
+var start = time.Date(2026, 12, 1, 8, 0, 0, 0, time.UTC)
+
+func TestMain(m *testing.M) {
+	rapidtest.Main(m, 3000)
+}
+
+func opaqueKeys() [worldKeys]ledger.Key {
+	var keys [worldKeys]ledger.Key
+	for i := range keys {
+		keys[i] = ledger.NewKey("tanzplan", string(rune('a'+i)))
+	}
+	return keys
+}
+
+func issuedKeys() [worldKeys]ledger.Key {
+	return [worldKeys]ledger.Key{
+		ledger.NewKey("cacaotera", "01a2309d-aed0-7000-8000-000000000001"),
+		ledger.NewKey("cacaotera", "01a2309d-aed0-7000-8000-000000000002"),
+		ledger.NewKey("cacaotera", "01a2309d-aed0-7000-8000-000000000003"),
+	}
+}
+
+// episode drives a world for a number of steps, then ends the faults.
+func episode(v variant) rapidtest.Episode {
+	sets := [][worldKeys]ledger.Key{opaqueKeys(), issuedKeys()}
+	return func(d rapidtest.Draw) error {
+		v.smallGuards = d(2) == 0
+		w := newWorld(v, sets[d(2)])
+		for range 150 {
+			w.act(d)
+			if err := w.check(); err != nil {
+				return err
+			}
+		}
+		return w.heal()
+	}
+}
+
+func TestOrdersRunAtMostOnceUnderAnyFaults(t *testing.T) {
+	rapidtest.Check(t, episode(variant{}))
+}
+
+// retryUnknown tries elsewhere after any failure.
+type retryUnknown struct {
+	*ledger.Machine
+}
+
+func (m retryUnknown) Ran(now time.Time, answer ledger.Answer, err error) ledger.Action {
+	if err != nil {
+		err = waxwingpick.ErrEngineUnreachable
+	}
+	return m.Machine.Ran(now, answer, err)
+}
+
+// claimLate sends first and claims behind it.
+type claimLate struct {
+	*ledger.Machine
+	write  ledger.Action
+	answer ledger.Answer
+	err    error
+}
+
+func (m *claimLate) Chosen(now time.Time, to ledger.Attempt, err error) ledger.Action {
+	a := m.Machine.Chosen(now, to, err)
+	if a.Kind != ledger.ActWrite {
+		return a
+	}
+	m.write = a
+	var claim ledger.Claim
+	if err := json.Unmarshal(a.Value, &claim); err != nil {
+		panic(err)
+	}
+	return ledger.Action{
+		Kind:    ledger.ActRun,
+		Attempt: claim.Attempt,
+	}
+}
+
+func (m *claimLate) Ran(_ time.Time, answer ledger.Answer, err error) ledger.Action {
+	m.answer = answer
+	m.err = err
+	return m.write
+}
+
+func (m *claimLate) Written(now time.Time, _ waxwingpick.Entry, _ error) ledger.Action {
+	return m.Machine.Ran(now, m.answer, m.err)
+}
+
+// outageNotRun answers every outage as not run.
+type outageNotRun struct {
+	*ledger.Machine
+}
+
+func (m outageNotRun) Read(now time.Time, entry waxwingpick.Entry, err error) ledger.Action {
+	return asNotRun(m.Machine.Read(now, entry, err))
+}
+
+func (m outageNotRun) Written(now time.Time, entry waxwingpick.Entry, err error) ledger.Action {
+	return asNotRun(m.Machine.Written(now, entry, err))
+}
+
+func asNotRun(a ledger.Action) ledger.Action {
+	if a.Refusal != nil && a.Refusal.Reason == waxwingpick.ReasonKeyValue {
+		a.Refusal = waxwingpick.NotRun(waxwingpick.ReasonKeyValue, time.Second, "")
+	}
+	return a
+}
+
+func TestNaiveVariantsAreCaught(t *testing.T) {
+	variants := map[string]variant{
+		"retry on unknown": {
+			wrap: func(m *ledger.Machine) sender { return retryUnknown{Machine: m} },
+		},
+		"claim after sending": {
+			wrap: func(m *ledger.Machine) sender { return &claimLate{Machine: m} },
+		},
+		"outage answered as not run": {
+			wrap: func(m *ledger.Machine) sender { return outageNotRun{Machine: m} },
+		},
+		"dedupe in the entry's memory only": {
+			memoryPerEntry: true,
+		},
+		"bars are not remembered": {
+			forgetBars: true,
+		},
+		"any incarnation is admitted": {
+			anyIncarnation: true,
+		},
+		"claims are written without compare": {
+			blindWrites: true,
+		},
+		"aged claims are removed without a record": {
+			bareSweeps: true,
+		},
+	}
+	for name, v := range variants {
+		t.Run(name, func(t *testing.T) {
+			require.Error(t, rapidtest.FirstViolation(episode(v)))
+		})
+	}
+}
--- /dev/null
+++ b/core/ledger/policy.go
@@ -0,0 +1,49 @@
+package ledger
+
+import (
+	"time"
+
+	"waxwingpick"
+)
+
+const (
+	defaultRetention = 24 * time.Hour
+	defaultSkew      = 5 * time.Minute
+)
+
+// Policy says how long the claims of keys that carry their issue time count.
+type Policy struct {
+	retention time.Duration
+	skew      time.Duration
+}
+
+// DefaultPolicy keeps claims for a day and allows clocks to differ by five minutes.
+func DefaultPolicy() Policy {
+	return Policy{
+		retention: defaultRetention,
+		skew:      defaultSkew,
+	}
+}
+
+// PolicyFor returns the policy for a configured retention, the default one where it is zero.
+func PolicyFor(retention time.Duration) Policy {
+	policy := DefaultPolicy()
+	if retention > 0 {
+		policy.retention = retention
+	}
+	return policy
+}
+
+// check refuses a key whose claim may have aged out.
+func (p Policy) check(key Key, now time.Time) *waxwingpick.Refusal {
+	issued, ok := key.Issued()
+	switch {
+	case !ok:
+		return nil
+	case now.Sub(issued) > p.retention:
+		return waxwingpick.Unknown(waxwingpick.ReasonKeyExpired, "the key is older than "+p.retention.String())
+	case issued.Sub(now) > p.skew:
+		return waxwingpick.NotRun(waxwingpick.ReasonKeyExpired, 0, "the key's issue time lies in the future")
+	}
+	return nil
+}
--- /dev/null
+++ b/core/plan/rank.go
@@ -0,0 +1,35 @@
+package plan
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"waxwingpick"
+)
+
+// Rank orders the candidates for a key by rendezvous hashing, the first one first, so that the keys spread evenly
+// over the candidates and few move when a candidate comes or goes.
+func Rank(key string, candidates []waxwingpick.InstanceID) []waxwingpick.InstanceID {
+	ranked := slices.Clone(candidates)
+	slices.Sort(ranked)
+	ranked = slices.Compact(ranked)
+	weights := make(map[waxwingpick.InstanceID]uint64, len(ranked))
+	for _, c := range ranked {
+		weights[c] = weight(key, c)
+	}
+	slices.SortStableFunc(ranked, func(a, b waxwingpick.InstanceID) int {
+		return cmp.Compare(weights[b], weights[a])
+	})
+	return ranked
+}
+
+func weight(key string, candidate waxwingpick.InstanceID) uint64 {
+	d := xxhash.New()
+	for _, part := range []string{key, "\x00", string(candidate)} {
+		// WriteString of a hash never fails.
+		_, _ = d.WriteString(part)
+	}
+	return d.Sum64()
+}
--- /dev/null
+++ b/core/retry/retry_test.go
@@ -0,0 +1,159 @@
+package retry_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"waxwingpick"
+	"waxwingpick/core/retry"
+	"waxwingpick/internal/rapidtest"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+const fraction = 0.1
+
+func TestMain(m *testing.M) {
+	rapidtest.Main(m, 1000)
+}
+
+// decider is what the property drives: a Policy or a naive variant of it.
+type decider interface {
+	Request(now time.Time)
+	Decide(now time.Time, a retry.Attempt) retry.Verdict
+}
+
+// allowance is the greatest number of retries that the promise leaves: the fraction of all requests, a burst of 10
+// for quiet times and one in five seconds where there is little traffic.
+func allowance(requests int, elapsed time.Duration) float64 {
+	return 10 + fraction*float64(requests) + elapsed.Seconds()/5
+}
+
+func attempt(t *rapid.T, now time.Time) retry.Attempt {
+	reasons := []waxwingpick.Reason{
+		waxwingpick.ReasonOverload, waxwingpick.ReasonLeaving, waxwingpick.ReasonTargetLost,
+		waxwingpick.ReasonTargetUnreachable, waxwingpick.ReasonRateLimit, waxwingpick.ReasonKeyReuse,
+	}
+	return retry.Attempt{
+		Number: rapid.IntRange(1, 4).Draw(t, "number"),
+		Refusal: &waxwingpick.Refusal{
+			Outcome: rapid.SampledFrom([]waxwingpick.Outcome{waxwingpick.OutcomeNotRun, waxwingpick.OutcomeUnknown}).Draw(t, "outcome"),
+			Reason:  rapid.SampledFrom(reasons).Draw(t, "reason"),
+		},
+		Repeatable: rapid.Bool().Draw(t, "repeatable"),
+		Delivered:  rapid.IntRange(0, 4).Draw(t, "delivered") == 0,
+		Deadline:   now.Add(time.Duration(rapid.SampledFrom([]int{0, 5, 100, 10_000}).Draw(t, "deadline")) * time.Millisecond),
+		Needed:     time.Duration(rapid.SampledFrom([]int{0, 50}).Draw(t, "needed")) * time.Millisecond,
+	}
+}
+
+// property checks each retry against the promises.
+func property(build func(t require.TestingT) decider) func(t *rapid.T) {
+	return func(t *rapid.T) {
+		p := build(t)
+		now := start
+		requests, retries := 0, 0
+		for range rapid.IntRange(1, 400).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 50).Draw(t, "millis")) * time.Millisecond)
+			if rapid.IntRange(0, 3).Draw(t, "first") == 0 {
+				p.Request(now)
+				requests++
+				continue
+			}
+			a := attempt(t, now)
+			v := p.Decide(now, a)
+			if !v.Retry {
+				require.Equal(t, a.Refusal, v.Refusal, "what is given up is told")
+				continue
+			}
+			retries++
+			require.True(t, a.Refusal.Outcome == waxwingpick.OutcomeNotRun || a.Repeatable, "what may have run and may not be repeated is not tried again")
+			require.False(t, a.Delivered)
+			require.False(t, now.Add(v.Delay+a.Needed).After(a.Deadline), "a retry ends inside the deadline")
+			require.NotContains(t, []waxwingpick.Reason{waxwingpick.ReasonRateLimit, waxwingpick.ReasonKeyReuse}, a.Refusal.Reason)
+			require.Less(t, a.Number, 3)
+			require.LessOrEqual(t, float64(retries), allowance(requests, now.Sub(start)), "retries exceed their budget")
+		}
+	}
+}
+
+func policy(t require.TestingT, opts ...retry.Option) *retry.Policy {
+	p, err := retry.New(append([]retry.Option{retry.Fraction(fraction)}, opts...)...)
+	require.NoError(t, err)
+	return p
+}
+
+func TestRetriesKeepTheirPromises(t *testing.T) {
+	rapid.Check(t, property(func(t require.TestingT) decider {
+		return policy(t)
+	}))
+}
+
+// changed is a policy that sees another attempt than the one that failed.
+type changed struct {
+	*retry.Policy
+	change func(a *retry.Attempt)
+}
+
+func (c changed) Decide(now time.Time, a retry.Attempt) retry.Verdict {
+	c.change(&a)
+	return c.Policy.Decide(now, a)
+}
+
+func TestOracleCatchesNaivePolicies(t *testing.T) {
+	for name, change := range map[string]func(a *retry.Attempt){
+		"repeats what may have run":  func(a *retry.Attempt) { a.Repeatable = true },
+		"overlooks the deadline":     func(a *retry.Attempt) { a.Deadline = a.Deadline.Add(time.Hour) },
+		"overlooks the time needed":  func(a *retry.Attempt) { a.Needed = 0 },
+		"overlooks delivered parts":  func(a *retry.Attempt) { a.Delivered = false },
+		"tries without end":          func(a *retry.Attempt) { a.Number = 1 },
+		"retries whatever it is for": func(a *retry.Attempt) { a.Refusal = waxwingpick.NotRun(waxwingpick.ReasonLeaving, 0, "") },
+	} {
+		t.Run(name, func(t *testing.T) {
+			require.True(t, rapidtest.Fails(t, property(func(t require.TestingT) decider {
+				return changed{
+					Policy: policy(t),
+					change: change,
+				}
+			})))
+		})
+	}
+	t.Run("has no budget", func(t *testing.T) {
+		require.True(t, rapidtest.Fails(t, property(func(t require.TestingT) decider {
+			return policy(t, retry.Fraction(1))
+		})))
+	})
+}
+
+// TestNoRetryStormDuringAnOutage has every attempt fail and counts what reaches the targets.
+func TestNoRetryStormDuringAnOutage(t *testing.T) {
+	const requests = 10_000
+	for _, reason := range []waxwingpick.Reason{waxwingpick.ReasonTargetUnreachable, waxwingpick.ReasonOverload} {
+		p := policy(t)
+		now := start
+		sent := 0
+		for range requests {
+			now = now.Add(time.Millisecond)
+			p.Request(now)
+			for n := 1; ; n++ {
+				sent++
+				v := p.Decide(now, retry.Attempt{
+					Number:   n,
+					Refusal:  waxwingpick.NotRun(reason, 0, ""),
+					Deadline: now.Add(time.Minute),
+				})
+				if !v.Retry {
+					break
+				}
+			}
+		}
+		most := float64(requests) + allowance(requests, now.Sub(start))
+		if reason == waxwingpick.ReasonOverload {
+			most = requests + 10
+		}
+		require.LessOrEqual(t, float64(sent), most, "reason %s", reason)
+	}
+}
--- /dev/null
+++ b/core/spread/spread_test.go
@@ -0,0 +1,274 @@
+package spread_test
+
+import (
+	"bytes"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"waxwingpick"
+	"waxwingpick/core/spread"
+)
+
+const key = "waxwingpick/plan/maestro"
+
+func newStore(t require.TestingT) *spread.Store {
+	s, err := spread.NewStore(func(_ string, body []byte) error {
+		if bytes.HasPrefix(body, []byte("bad")) {
+			return eris.New("bad record")
+		}
+		return nil
+	})
+	require.NoError(t, err)
+	return s
+}
+
+// body returns a record whose revisions differ in a small part, as a plan's do.
+func body(revision int64) []byte {
+	var b bytes.Buffer
+	for i := range 600 {
+		number := int64(i)
+		if int64(i) == revision%600 {
+			number += revision * 1000
+		}
+		fmt.Fprintf(&b, `{"id":"maestro-%04d","order":{"number":%d,"config":{"role":"decode","model":"m-%x"}}}`, i, number, number*2654435761)
+	}
+	return b.Bytes()
+}
+
+// exchange runs a whole exchange and returns the bytes of the bodies that it carried.
+func exchange(t require.TestingT, a, b *spread.Store) int {
+	answer, _, err := b.Handle("b", a.Hello("a"))
+	require.NoError(t, err)
+	msg, more := a.Reply("a", answer)
+	if !more {
+		return 0
+	}
+	answer, _, err = b.Handle("b", msg)
+	require.NoError(t, err)
+	_, err = a.Finish(answer)
+	require.NoError(t, err)
+	carried := 0
+	for _, body := range append(msg.Bodies, answer.Bodies...) {
+		carried += len(body.Data)
+	}
+	return carried
+}
+
+func TestExchangeHealsGapsBothWays(t *testing.T) {
+	a, b := newStore(t), newStore(t)
+	a.Accept(key, 7, body(7))
+	b.Accept("waxwingpick/config", 9, []byte("config"))
+	whole := exchange(t, a, b)
+	require.Equal(t, a.Sum(), b.Sum())
+	require.Equal(t, a.Digest(), b.Digest())
+	require.Zero(t, exchange(t, a, b))
+
+	// The next revision travels as a delta, one after a gap in either direction as well.
+	a.Accept(key, 12, body(12))
+	delta := exchange(t, b, a)
+	got, revision := b.Get(key)
+	require.Equal(t, int64(12), revision)
+	require.Equal(t, body(12), got)
+	require.Less(t, delta*10, whole)
+	t.Logf("plan of %d bytes: whole %d bytes, delta %d bytes", len(got), whole, delta)
+}
+
+func TestStoreRefusesWhatWasNotAccepted(t *testing.T) {
+	sender := newStore(t)
+	sender.Accept(key, 4, body(4))
+	sender.Accept(key, 5, body(5))
+	whole := func() waxwingpick.RecordBody {
+		answer, _, err := sender.Handle("s", pull(0))
+		require.NoError(t, err)
+		return answer.Bodies[0]
+	}
+	delta := func() waxwingpick.RecordBody {
+		answer, _, err := sender.Handle("s", pull(4))
+		require.NoError(t, err)
+		return answer.Bodies[0]
+	}
+	cases := []struct {
+		name   string
+		held   int64
+		body   func() waxwingpick.RecordBody
+		change func(b *waxwingpick.RecordBody)
+		want   int64
+		fails  bool
+	}{
+		{name: "whole", body: whole, want: 5},
+		{name: "delta", held: 4, body: delta, want: 5},
+		{name: "delta without its base", body: delta, fails: true},
+		{name: "delta on another base", held: 3, body: delta, change: func(b *waxwingpick.RecordBody) { b.Base = 3 }, want: 3, fails: true},
+		{name: "older", held: 6, body: whole, want: 6},
+		{name: "the same", held: 5, body: whole, want: 5},
+		{name: "damaged", body: whole, change: func(b *waxwingpick.RecordBody) { b.Data[len(b.Data)/2] ^= 1 }, fails: true},
+		{name: "cut off", body: whole, change: func(b *waxwingpick.RecordBody) { b.Data = b.Data[:len(b.Data)/2] }, fails: true},
+		{name: "empty", body: whole, change: func(b *waxwingpick.RecordBody) { b.Data = nil }, fails: true},
+		{name: "another sum", body: whole, change: func(b *waxwingpick.RecordBody) { b.Sum++ }, fails: true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := newStore(t)
+			if c.held > 0 {
+				s.Accept(key, c.held, body(c.held))
+			}
+			b := c.body()
+			if c.change != nil {
+				c.change(&b)
+			}
+			_, _, err := s.Handle("r", waxwingpick.PeerMessage{
+				Bodies: []waxwingpick.RecordBody{b},
+			})
+			require.Equal(t, c.fails, err != nil, "%v", err)
+			got, revision := s.Get(key)
+			require.Equal(t, c.want, revision)
+			if revision > 0 {
+				require.Equal(t, body(revision), got)
+			}
+		})
+	}
+}
+
+func pull(held int64) waxwingpick.PeerMessage {
+	return waxwingpick.PeerMessage{
+		Pull: []waxwingpick.RecordRevision{{
+			Key:      key,
+			Revision: held,
+		}},
+	}
+}
+
+func TestStoreRefusesAnOversizedOrInvalidBody(t *testing.T) {
+	for _, data := range [][]byte{make([]byte, 4*waxwingpick.MaxValueSize), []byte("bad record")} {
+		sender, receiver := newStore(t), newStore(t)
+		sender.Accept(key, 1, data)
+		answer, _, err := sender.Handle("s", pull(0))
+		require.NoError(t, err)
+		_, err = receiver.Finish(answer)
+		require.Error(t, err)
+		_, revision := receiver.Get(key)
+		require.Zero(t, revision)
+	}
+}
+
+// TestStoreOnlyRises hands messages over in any order, late and twice.
+func TestStoreOnlyRises(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		stores := []*spread.Store{newStore(rt), newStore(rt), newStore(rt)}
+		var sent []waxwingpick.PeerMessage
+		newest := int64(0)
+		held := make([]int64, len(stores))
+		pick := func() int {
+			return rapid.IntRange(0, len(stores)-1).Draw(rt, "store")
+		}
+		rt.Repeat(map[string]func(*rapid.T){
+			"accept": func(*rapid.T) {
+				newest++
+				stores[pick()].Accept(key, newest, body(newest))
+			},
+			"late read": func(rt *rapid.T) {
+				revision := rapid.Int64Range(0, newest).Draw(rt, "revision")
+				stores[pick()].Accept(key, revision, body(revision))
+			},
+			"send": func(rt *rapid.T) {
+				from, to := stores[pick()], stores[pick()]
+				answer, _, err := to.Handle("to", from.Hello("from"))
+				require.NoError(rt, err)
+				if msg, ok := from.Reply("from", answer); ok {
+					sent = append(sent, msg)
+				}
+			},
+			"deliver": func(rt *rapid.T) {
+				if len(sent) == 0 {
+					return
+				}
+				msg := sent[rapid.IntRange(0, len(sent)-1).Draw(rt, "message")]
+				// A late delta may miss its base, which the next exchange makes good.
+				answer, _, _ := stores[pick()].Handle("to", msg)
+				sent = append(sent, answer)
+			},
+			"": func(rt *rapid.T) {
+				for i, s := range stores {
+					got, revision := s.Get(key)
+					require.GreaterOrEqual(rt, revision, held[i])
+					if revision != held[i] {
+						require.Equal(rt, body(revision), got)
+					}
+					held[i] = revision
+				}
+			},
+		})
+	})
+}
+
+func TestProcessLearnsBeforeItServes(t *testing.T) {
+	self := waxwingpick.Instance{
+		ID:   "self",
+		Zone: "sierra-a",
+	}
+	known := []waxwingpick.Instance{self}
+	for i := range 5 {
+		known = append(known, waxwingpick.Instance{
+			ID:   waxwingpick.InstanceID(fmt.Sprintf("peer-%d", i)),
+			Zone: waxwingpick.AvailabilityZone([]string{"sierra-a", "sierra-a", "sierra-a", "sierra-b", "sierra-b"}[i]),
+		})
+	}
+	now := time.Unix(0, 0)
+	g := spread.NewGossip(self, rand.New(rand.NewPCG(1, 1)))
+	for range spread.LearnRounds - 1 {
+		far := 0
+		chosen := g.Start(now, known)
+		require.Len(t, chosen, 3)
+		for _, p := range chosen {
+			require.NotEqual(t, self.ID, p.ID)
+			if p.Zone != self.Zone {
+				far++
+			}
+		}
+		require.Equal(t, 1, far)
+	}
+	require.False(t, g.Learned(known[:1]))
+	require.False(t, g.Learned(known))
+	for i, p := range known[1:] {
+		require.Equal(t, i >= spread.LearnedPeers, g.Learned(known), "after %d answers", i)
+		g.Answered(p.ID)
+	}
+	lonely := spread.NewGossip(self, rand.New(rand.NewPCG(1, 1)))
+	lonely.Answered(known[1].ID)
+	for range spread.LearnRounds {
+		require.False(t, lonely.Learned(known))
+		lonely.Start(now, known)
+	}
+	require.True(t, lonely.Learned(known))
+	read := spread.NewGossip(self, rand.New(rand.NewPCG(1, 1)))
+	read.Read()
+	require.True(t, read.Learned(known[:1]))
+}
+
+func BenchmarkPlanOf600Replicas(b *testing.B) {
+	bodies := [][]byte{body(4), body(5)}
+	for _, c := range []struct {
+		name string
+		held int64
+	}{{name: "whole"}, {name: "delta", held: 1}} {
+		b.Run(c.name, func(b *testing.B) {
+			s := newStore(b)
+			s.Accept(key, 1, bodies[1])
+			revision := int64(1)
+			carried := 0
+			for b.Loop() {
+				revision++
+				s.Accept(key, revision, bodies[revision%2])
+				answer, _, _ := s.Handle("s", pull((revision-1)*c.held))
+				carried = len(answer.Bodies[0].Data)
+			}
+			b.ReportMetric(float64(carried), "carriedBytes")
+		})
+	}
+}
--- /dev/null
+++ b/core/suspect/fingerprint.go
@@ -0,0 +1,78 @@
+package suspect
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strconv"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rotisserie/eris"
+
+	"waxwingpick"
+)
+
+// Fingerprint identifies a request by its workspace, path and normalised body.
+type Fingerprint uint64
+
+// String returns the fingerprint as 16 hexadecimal digits.
+func (f Fingerprint) String() string {
+	return fmt.Sprintf("%016x", uint64(f))
+}
+
+// ParseFingerprint returns the fingerprint that String wrote.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	value, err := strconv.ParseUint(text, 16, 64)
+	if err != nil || len(text) != 16 {
+		return 0, eris.Errorf("fingerprint %q: want 16 hexadecimal digits", text)
+	}
+	return Fingerprint(value), nil
+}
+
+// MarshalText encodes the fingerprint as hexadecimal digits.
+func (f Fingerprint) MarshalText() ([]byte, error) {
+	return []byte(f.String()), nil
+}
+
+// UnmarshalText decodes the fingerprint from hexadecimal digits.
+func (f *Fingerprint) UnmarshalText(text []byte) error {
+	parsed, err := ParseFingerprint(string(text))
+	if err != nil {
+		return err
+	}
+	*f = parsed
+	return nil
+}
+
+// Of returns the fingerprint of a request; a JSON body counts without its layout, member order and stream options.
+func Of(workspace waxwingpick.WorkspaceID, path string, body []byte) Fingerprint {
+	h := xxhash.New()
+	for _, part := range [][]byte{[]byte(workspace), []byte(path), normalise(body)} {
+		_, _ = h.WriteString(strconv.Itoa(len(part)) + ":")
+		_, _ = h.Write(part)
+	}
+	return Fingerprint(h.Sum64())
+}
+
+// normalise returns the body as canonical JSON, or unchanged where it is none.
+func normalise(body []byte) []byte {
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.UseNumber()
+	var value any
+	if err := decoder.Decode(&value); err != nil {
+		return body
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return body
+	}
+	if object, ok := value.(map[string]any); ok {
+		delete(object, "stream")
+		delete(object, "stream_options")
+	}
+	canonical, err := json.Marshal(value)
+	if err != nil {
+		return body
+	}
+	return canonical
+}
--- /dev/null
+++ b/core/suspect/record.go
@@ -0,0 +1,134 @@
+package suspect
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"waxwingpick"
+)
+
+// crashesToRefuse is the number of crashes after which a fingerprint is refused.
+const crashesToRefuse = 2
+
+// Status is what a fingerprint's record says about its next run.
+type Status uint8
+
+// The statuses of a fingerprint.
+const (
+	// StatusClean says that the request may run anywhere.
+	StatusClean Status = iota
+	// StatusSuspect says that the request may run only as the one suspect of its target.
+	StatusSuspect
+	// StatusRefused says that the request must not run.
+	StatusRefused
+)
+
+// String returns the name used in reports.
+func (s Status) String() string {
+	switch s {
+	case StatusClean:
+		return "clean"
+	case StatusSuspect:
+		return "suspect"
+	case StatusRefused:
+		return "refused"
+	}
+	return "unknown"
+}
+
+// Crash is one crash of a target.
+type Crash struct {
+	// ID names the crash, the same at every process that saw it, such as the target and its boot ID.
+	ID string    `json:"id"`
+	At time.Time `json:"at"`
+	// Target is the target that crashed.
+	Target waxwingpick.TargetID `json:"target,omitempty"`
+}
+
+// Record is what is known of one fingerprint.
+type Record struct {
+	Fingerprint Fingerprint `json:"fingerprint"`
+	// Crashes holds the newest crashes that the request was in flight at, newest first.
+	Crashes []Crash `json:"crashes,omitempty"`
+	// Lifted is when an operator or a good answer cleared the fingerprint; crashes up to then do not count.
+	Lifted time.Time `json:"lifted,omitzero"`
+}
+
+// merge returns the record that holds what both hold; it is commutative, associative and idempotent.
+func (r Record) merge(other Record) Record {
+	merged := Record{
+		Fingerprint: r.Fingerprint,
+		Lifted:      latest(r.Lifted, other.Lifted),
+	}
+	for _, crash := range slices.Concat(r.Crashes, other.Crashes) {
+		merged.add(crash)
+	}
+	return merged
+}
+
+// add puts a crash into its place, unless it is there or does not count any more; of two times of one crash the later counts.
+func (r *Record) add(crash Crash) {
+	if !crash.At.After(r.Lifted) {
+		return
+	}
+	for i, known := range r.Crashes {
+		if known.ID != crash.ID {
+			continue
+		}
+		if !crash.At.After(known.At) {
+			return
+		}
+		r.Crashes = slices.Delete(r.Crashes, i, i+1)
+		break
+	}
+	r.Crashes = append(r.Crashes, crash)
+	slices.SortFunc(r.Crashes, compareCrashes)
+	r.Crashes = r.Crashes[:min(len(r.Crashes), crashesToRefuse)]
+}
+
+func (r Record) status(oldest time.Time) Status {
+	counted := 0
+	for _, crash := range r.Crashes {
+		if crash.At.After(oldest) {
+			counted++
+		}
+	}
+	switch {
+	case counted >= crashesToRefuse:
+		return StatusRefused
+	case counted > 0:
+		return StatusSuspect
+	}
+	return StatusClean
+}
+
+// newest returns when the record last changed its meaning.
+func (r Record) newest() time.Time {
+	if len(r.Crashes) == 0 {
+		return r.Lifted
+	}
+	return latest(r.Lifted, r.Crashes[0].At)
+}
+
+func compareCrashes(a, b Crash) int {
+	if order := b.At.Compare(a.At); order != 0 {
+		return order
+	}
+	return cmp.Compare(a.ID, b.ID)
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (r Record) equal(other Record) bool {
+	return r.Lifted.Equal(other.Lifted) && slices.EqualFunc(r.Crashes, other.Crashes, sameCrash)
+}
+
+func sameCrash(a, b Crash) bool {
+	return a.ID == b.ID && a.At.Equal(b.At)
+}
--- /dev/null
+++ b/internal/daemon/sidecar.go
@@ -0,0 +1,82 @@
+package daemon
+
+import (
+	"cmp"
+	"fmt"
+
+	"github.com/google/subcommands"
+	"github.com/sirupsen/logrus"
+
+	"waxwingpick"
+	"waxwingpick/core/config"
+	"waxwingpick/internal/sidecar"
+	"waxwingpick/io/engine"
+	"waxwingpick/io/plain"
+	"waxwingpick/io/tcp"
+)
+
+// SidecarCommand returns the subcommand that runs a sidecar.
+func SidecarCommand() subcommands.Command {
+	return &command[SidecarSettings]{
+		name:     "sidecar",
+		synopsis: "run the sidecar of one target",
+		usage: `waxwingpickd sidecar -settings FILE
+
+Runs the sidecar beside one target until SIGTERM. The first SIGTERM refuses new
+work and lets running requests end; a second one cuts them.
+
+Example:
+  waxwingpickd sidecar -settings /etc/waxwingpick/sidecar.yaml
+
+`,
+		create: newSidecar,
+	}
+}
+
+func newSidecar(s SidecarSettings, out *outside, log *logrus.Logger) (process, error) {
+	o, err := sidecarOptions(s, out.timers, log)
+	if err != nil {
+		return nil, err
+	}
+	if o.Credentials, err = out.credentials(s.TLS.section(s.identity()), log); err != nil {
+		return nil, err
+	}
+	o.KeyValue = out.kv
+	o.Platform = out.list
+	o.OwnList = s.OwnList
+	return sidecar.New(o)
+}
+
+func sidecarOptions(s SidecarSettings, timers waxwingpick.Timers, log *logrus.Logger) (sidecar.Options, error) {
+	o := sidecar.Options{
+		Fleet:            s.Fleet,
+		Instance:         waxwingpick.InstanceID(s.Instance),
+		Target:           waxwingpick.TargetID(s.Target),
+		Service:          waxwingpick.ServiceName(s.Service),
+		Zone:             waxwingpick.AvailabilityZone(s.AvailabilityZone),
+		Control:          s.Control,
+		Data:             s.Data,
+		Timers:           timers,
+		Log:              log,
+		MaxBody:          cmp.Or(s.MaxBodyBytes, defaultMaxBody),
+		OrderAnswerBytes: s.OrderAnswerBytes,
+		MaxConcurrent:    s.MaxConcurrent,
+		Pieces:           s.Pieces,
+		PieceTokens:      s.PieceTokens,
+	}
+	if config.TargetKind(s.Kind) == config.KindEngine {
+		client, err := engine.New(s.TargetAddress)
+		if err != nil {
+			return o, fmt.Errorf("create engine client: %w", err)
+		}
+		o.Engine = client
+		return o, nil
+	}
+	client, err := plain.New(s.TargetAddress)
+	if err != nil {
+		return o, fmt.Errorf("create service client: %w", err)
+	}
+	o.Plain = client
+	o.Alive = tcp.Alive(s.TargetAddress, dialTimeout)
+	return o, nil
+}
--- /dev/null
+++ b/internal/daemon/tls_test.go
@@ -0,0 +1,368 @@
+package daemon_test
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"waxwingpick"
+	"waxwingpick/core/timer"
+	"waxwingpick/internal/demo"
+	"waxwingpick/internal/operator"
+	"waxwingpick/internal/standin/ca"
+	"waxwingpick/io/jsonrpc"
+	"waxwingpick/io/mtls"
+	entries "waxwingpick/io/operator"
+	"waxwingpick/io/sidecar"
+)
+
+// secured is a fleet with certificates.
+type secured struct {
+	*fleet
+	authority *ca.Authority
+	dir       string
+	mode      mtls.Mode
+}
+
+func newSecured(t *testing.T, mode mtls.Mode) *secured {
+	a, err := ca.New(time.Now())
+	require.NoError(t, err)
+	s := &secured{
+		fleet:     newFleet(t),
+		authority: a,
+		dir:       t.TempDir(),
+		mode:      mode,
+	}
+	s.more = s.lines
+	return s
+}
+
+// issue writes the certificate of a process, whose name starts with its role, and returns its files.
+func (s *secured) issue(name string) mtls.Files {
+	role := mtls.RoleSidecar
+	for _, r := range []mtls.Role{mtls.RoleEntry, mtls.RoleOperator} {
+		if strings.HasPrefix(name, string(r)) {
+			role = r
+		}
+	}
+	files, err := s.authority.Write(s.dir, name, ca.HolderOf(mtls.NewIdentity(s.name, role)))
+	require.NoError(s.t, err)
+	return files
+}
+
+// lines returns the section about TLS.
+func (s *secured) lines(name string) []string {
+	if s.mode == "" {
+		return nil
+	}
+	files := s.issue(name)
+	return []string{
+		"tls:", "  certificate: " + files.Certificate, "  key: " + files.Key,
+		"  authorities: " + files.Authorities, "  mode: " + string(s.mode),
+	}
+}
+
+// overTLS has callers talk over TLS too, with the certificate of the processes.
+func (s *secured) overTLS() {
+	pool := x509.NewCertPool()
+	pool.AppendCertsFromPEM(s.authority.PEM())
+	cfg := &tls.Config{
+		RootCAs: pool,
+	}
+	s.caller = []demo.CallerOption{demo.OverTLS(cfg)}
+	s.scheme = "https://"
+	s.http = &http.Client{
+		Transport: &http.Transport{
+			TLSClientConfig: cfg,
+		},
+	}
+	s.more = func(name string) []string {
+		lines := s.lines(name)
+		if strings.HasPrefix(name, "entry") {
+			lines = append(lines, "callerTls:", "  certificate: "+filepath.Join(s.dir, name+".crt"),
+				"  key: "+filepath.Join(s.dir, name+".key"))
+		}
+		return lines
+	}
+}
+
+// as returns the credentials of a process of the fleet.
+func (s *secured) as(role mtls.Role) *mtls.Credentials {
+	c, err := s.authority.Credentials(s.t.TempDir(), mtls.NewIdentity(s.name, role), timer.NewManual(time.Now()))
+	require.NoError(s.t, err)
+	return c
+}
+
+// operate runs the operators' client.
+func (s *secured) operate(args ...string) (int, string) {
+	files := s.issue("operator")
+	settings := filepath.Join(s.dir, "operator.yaml")
+	text := "fleet: " + s.name + "\ntls:\n  certificate: " + files.Certificate + "\n  key: " + files.Key +
+		"\n  authorities: " + files.Authorities + "\n"
+	require.NoError(s.t, os.WriteFile(settings, []byte(text), 0o600))
+	var out bytes.Buffer
+	env := operator.DefaultEnv()
+	env.Stdout = &out
+	env.Stderr = &out
+	env.Getenv = func(name string) string {
+		return map[string]string{
+			operator.EnvKeyValue: s.etcd,
+			operator.EnvPlatform: s.platform,
+			operator.EnvSettings: settings,
+		}[name]
+	}
+	return operator.Main(s.t.Context(), env, args), out.String()
+}
+
+// hangUp has the processes read their files again.
+func (s *secured) hangUp(procs ...*proc) {
+	for _, p := range procs {
+		require.NoError(s.t, p.cmd.Process.Signal(syscall.SIGHUP))
+	}
+}
+
+func (s *secured) metrics() string {
+	resp, err := s.http.Get(s.scheme + s.listens[0] + "/metrics")
+	require.NoError(s.t, err)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(s.t, err)
+	return string(body)
+}
+
+// TestTLSEverywhere runs separate processes that require TLS on all sides.
+func TestTLSEverywhere(t *testing.T) {
+	const length = 200
+	s := newSecured(t, mtls.ModeRequire)
+	s.overTLS()
+	s.start(1, 1)
+	entry, side := s.entries[0], s.sidecars[0]
+
+	t.Run("rotation in the middle of a stream", func(t *testing.T) {
+		before := tokens(s.engines[0])
+		got := s.ask("reshape the season", length)
+		s.await(func() bool {
+			return tokens(s.engines[0]) > before+5
+		})
+		s.issue("entry-0")
+		s.issue("engine-0")
+		s.hangUp(entry, side)
+		s.await(func() bool {
+			return strings.Contains(entry.log.String(), "settings reloaded") && strings.Contains(side.log.String(), "settings reloaded")
+		})
+		a := <-got
+		require.NoError(t, a.err)
+		require.Equal(t, wanted("reshape the season", length), a.text)
+		a = <-s.ask("who swapped tuesday salsa", 5)
+		require.NoError(t, a.err)
+	})
+
+	t.Run("an operator switches the preset", func(t *testing.T) {
+		code, out := s.operate("preset", "switch", "peak")
+		require.Zero(t, code, out)
+		s.await(func() bool {
+			code, out = s.operate("status")
+			return code == 0 && strings.Contains(out, "is in force at 2 of 2 processes")
+		})
+		require.Contains(t, out, "certificate ends in 364 days")
+	})
+
+	t.Run("foreign certificates and plain clients", func(t *testing.T) {
+		foreign, err := ca.New(time.Now())
+		require.NoError(t, err)
+		ours := mtls.NewIdentity(s.name, mtls.RoleOperator)
+		theirs := mtls.NewIdentity("cacaotera", mtls.RoleOperator)
+		for _, addr := range []string{s.instances[0].Control, s.instances[0].Data, s.instances[1].Control} {
+			s.isRefused(addr, foreign, ours)
+			s.isRefused(addr, s.authority, theirs)
+		}
+		require.Error(t, s.call(nil, s.instances[1].Control, "status"))
+		s.await(func() bool {
+			m := s.metrics()
+			return strings.Contains(m, `waxwingpick_certificate_refused_total{reason="authority",side="processes"} 1`) &&
+				strings.Contains(m, `waxwingpick_certificate_refused_total{reason="fleet",side="processes"} 1`) &&
+				strings.Contains(m, `waxwingpick_certificate_refused_total{reason="plain",side="processes"} 1`)
+		})
+		require.Contains(t, entry.log.String(), "peer refused by its certificate")
+		_, err = http.Get("http://" + s.listens[0] + "/healthz")
+		require.Error(t, err)
+	})
+
+	t.Run("roles", s.checkRoles)
+
+	t.Run("a bad new pair keeps the old one", func(t *testing.T) {
+		key := filepath.Join(s.dir, "entry-0.key")
+		s.issue("engine-0")
+		bad, err := os.ReadFile(filepath.Join(s.dir, "engine-0.key"))
+		require.NoError(t, err)
+		require.NoError(t, os.WriteFile(key, bad, 0o600))
+		s.hangUp(entry)
+		s.await(func() bool {
+			return strings.Contains(entry.log.String(), "credentials not reloaded: the former ones stay")
+		})
+		require.Contains(t, entry.log.String(), key)
+		a := <-s.ask("who swapped tuesday salsa", 5)
+		require.NoError(t, a.err)
+	})
+}
+
+// call sends one control call without content.
+func (s *secured) call(c *mtls.Credentials, addr, method string) error {
+	client, err := jsonrpc.NewClient(jsonrpc.WithCredentials(c))
+	require.NoError(s.t, err)
+	defer client.Close()
+	return client.Call(s.t.Context(), addr, method, struct{}{}, nil)
+}
+
+// isRefused connects with a certificate and without a look at the server's.
+func (s *secured) isRefused(addr string, issuer *ca.Authority, self mtls.Identity) {
+	pair, err := issuer.Pair(ca.HolderOf(self))
+	require.NoError(s.t, err)
+	conn, err := tls.Dial("tcp", addr, &tls.Config{
+		InsecureSkipVerify: true,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			return &pair, nil
+		},
+	})
+	require.NoError(s.t, err)
+	defer conn.Close()
+	_, err = conn.Read(make([]byte, 1))
+	require.True(s.t, mtls.RefusedByPeer(err), "%v", err)
+}
+
+// checkRoles calls every control method of both processes with the certificate of each role.
+func (s *secured) checkRoles(t *testing.T) {
+	const entry, sidecars, operators = mtls.RoleEntry, mtls.RoleSidecar, mtls.RoleOperator
+	ours := s.name + "/"
+	methods := []map[string][]mtls.Role{
+		{
+			ours + sidecar.MethodProbe:    {entry},
+			ours + sidecar.MethodBar:      {entry},
+			ours + sidecar.MethodSuspects: {entry},
+			ours + jsonrpc.MethodExchange: {entry, sidecars},
+		},
+		{
+			entries.MethodStatus:          {operators},
+			entries.MethodBurn:            {operators},
+			entries.MethodLift:            {operators},
+			ours + entries.MethodLift:     {operators},
+			ours + sidecar.MethodSuspects: {entry},
+			ours + sidecar.MethodClaims:   {entry},
+			ours + sidecar.MethodQuota:    {entry},
+			ours + jsonrpc.MethodExchange: {entry, sidecars},
+		},
+	}
+	for _, role := range []mtls.Role{entry, sidecars, operators} {
+		c := s.as(role)
+		for i, instance := range s.instances {
+			for method, allowed := range methods[i] {
+				err := s.call(c, instance.Control, method)
+				if slices.Contains(allowed, role) {
+					require.NotErrorIs(t, err, jsonrpc.ErrNotTaken, "%s by %s", method, role)
+				} else {
+					require.ErrorIs(t, err, mtls.ErrRefused, "%s by %s", method, role)
+				}
+			}
+		}
+	}
+}
+
+// TestTLSIsRolledOut takes a running fleet from plain connections to required TLS, one process after the other and one
+// mode after the other, with callers at the entries that serve.
+func TestTLSIsRolledOut(t *testing.T) {
+	s := newSecured(t, "")
+	s.start(2, 2)
+	// serving is the entry that callers are sent to.
+	var serving atomic.Int32
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	var asked, failed atomic.Int64
+	var first atomic.Value
+	var callers sync.WaitGroup
+	for range 4 {
+		callers.Go(func() {
+			caller := demo.NewCaller("studio-2")
+			defer caller.Close()
+			for ctx.Err() == nil {
+				result, err := caller.Chat(context.Background(), s.listens[serving.Load()], model, "reshape the season", 20)
+				asked.Add(1)
+				if err != nil || result.Text != wanted("reshape the season", 20) {
+					failed.Add(1)
+					first.CompareAndSwap(nil, err)
+				}
+			}
+		})
+	}
+	restart := func(p **proc, name string) {
+		path := (*p).args[2]
+		text, err := os.ReadFile(path)
+		require.NoError(t, err)
+		plain, _, _ := strings.Cut(string(text), "\ntls:")
+		require.NoError(t, os.WriteFile(path, []byte(plain+"\n"+strings.Join(s.lines(name), "\n")), 0o600))
+		require.NoError(t, (*p).cmd.Process.Signal(syscall.SIGTERM))
+		require.NoError(t, (*p).cmd.Wait())
+		*p = launch(t, "waxwingpickd", (*p).args...)
+	}
+	// An engine that still changes behind the start serves nobody, so the other one may not stop.
+	processes := s.awaitUsable("", nil)
+	for _, mode := range []mtls.Mode{mtls.ModePermit, mtls.ModePrefer, mtls.ModeRequire} {
+		s.mode = mode
+		for i, name := range []string{"engine-0", "engine-1"} {
+			restart(&s.sidecars[i], name)
+			processes = s.awaitUsable(name, processes)
+		}
+		for i, name := range []string{"entry-0", "entry-1"} {
+			serving.Store(int32(1 - i))
+			restart(&s.entries[i], name)
+			s.await(func() bool {
+				return s.ready(s.listens[i])
+			})
+		}
+		t.Logf("%s: %d asked, %d failed", mode, asked.Load(), failed.Load())
+	}
+	stop()
+	callers.Wait()
+	require.Zero(t, failed.Load(), "of %d: %v", asked.Load(), first.Load())
+	require.Positive(t, asked.Load())
+	for _, instance := range s.instances {
+		require.Error(t, s.call(nil, instance.Control, s.name+"/"+jsonrpc.MethodExchange))
+	}
+}
+
+// awaitUsable waits until the entries, which still take plain calls, use all targets, of which the named one, if any, has
+// a new sidecar. It returns the sidecars' processes.
+func (s *secured) awaitUsable(restarted string, former map[waxwingpick.TargetID]string) map[waxwingpick.TargetID]string {
+	s.t.Helper()
+	client, err := entries.NewClient()
+	require.NoError(s.t, err)
+	defer client.Close()
+	processes := make(map[waxwingpick.TargetID]string)
+	used := func(t entries.TargetStatus) bool {
+		processes[t.Target], _, _ = strings.Cut(t.Incarnation, ".")
+		renewed := string(t.Target) != restarted || processes[t.Target] != former[t.Target]
+		return renewed && t.Usable && t.Known && t.Active.Model != "" && t.Active == t.Wanted
+	}
+	for i := range s.entries {
+		s.await(func() bool {
+			status, err := client.Status(s.t.Context(), s.instances[len(s.sidecars)+i].Control, entries.StatusRequest{})
+			return err == nil && len(slices.DeleteFunc(status.Targets, func(t entries.TargetStatus) bool {
+				return !used(t)
+			})) == len(s.sidecars)
+		})
+	}
+	return processes
+}
--- /dev/null
+++ b/internal/entry/config.go
@@ -0,0 +1,132 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"waxwingpick"
+	"waxwingpick/core/config"
+	"waxwingpick/core/ledger"
+	"waxwingpick/core/plan"
+)
+
+// notReadyRetry is when to come back to an entry that has just started.
+const notReadyRetry = time.Second
+
+// instances returns the newest known list of the platform.
+func (p *Process) instances() []waxwingpick.Instance {
+	return p.list.Instances()
+}
+
+// leaving returns the instances that operators announced as leaving.
+func (p *Process) leaving() waxwingpick.Set[waxwingpick.InstanceID] {
+	cfg, _ := p.records.Config()
+	leaving := waxwingpick.NewSet[waxwingpick.InstanceID]()
+	for _, l := range cfg.Leaving {
+		leaving.Add(l.Instance)
+	}
+	return leaving
+}
+
+func (p *Process) plan(service waxwingpick.ServiceName) plan.Record {
+	rec, _ := p.records.Plan(service)
+	return rec
+}
+
+func (p *Process) configRevision() int64 {
+	cfg, _ := p.records.Config()
+	return cfg.Revision
+}
+
+// enter admits a request to this entry, unless it stops or has not learned a configuration yet.
+func (p *Process) enter(now time.Time, id string) error {
+	if !p.records.Learned() {
+		return waxwingpick.NotRun(waxwingpick.ReasonNotReady, notReadyRetry, "no configuration known yet")
+	}
+	return p.gate.Enter(now, id, false)
+}
+
+// applyConfig follows the accepted configuration in the parts that hold a copy of its limits.
+func (p *Process) applyConfig() {
+	cfg, _ := p.records.Config()
+	p.outcomes.metrics.Revision("config", cfg.Revision)
+	p.quotas.setLimits(cfg.Limits)
+	p.retryMu.Lock()
+	defer p.retryMu.Unlock()
+	if err := p.retries.SetFraction(cfg.Limits.RetryBudget); err != nil {
+		p.log.WithField("error", err.Error()).Warn("retry budget of the configuration not taken")
+	}
+}
+
+// orderPolicy returns how long claims of orders count under the accepted configuration.
+func (p *Process) orderPolicy() ledger.Policy {
+	cfg, _ := p.records.Config()
+	return ledger.PolicyFor(cfg.Limits.OrderRetention.Std())
+}
+
+// sweepClaims removes claims that have aged out, at the one entry whose turn it is.
+func (p *Process) sweepClaims(now time.Time) {
+	var entries []waxwingpick.InstanceID
+	for _, i := range p.instances() {
+		if i.Kind == waxwingpick.KindEntry && !i.Leaving {
+			entries = append(entries, i.ID)
+		}
+	}
+	ranked := plan.Rank(ledger.KeyPrefix, entries)
+	if len(ranked) == 0 || ranked[0] != p.options.Instance {
+		return
+	}
+	ctx, cancel := context.WithTimeout(p.lifecycle, ledger.SweepPeriod)
+	defer cancel()
+	removed, err := p.sweeper.Sweep(ctx, now)
+	if err != nil {
+		p.log.WithField("error", err.Error()).Warn("aged claims not removed")
+		return
+	}
+	if removed > 0 {
+		p.log.WithField("removed", removed).Info("aged claims removed")
+	}
+}
+
+// preset returns the preset in force; the zero preset where no configuration is known.
+func (p *Process) preset() config.Preset {
+	cfg, _ := p.records.Config()
+	for _, preset := range cfg.Presets {
+		if preset.Name == cfg.InForce {
+			return preset
+		}
+	}
+	return config.Preset{}
+}
+
+func (p *Process) serviceConfig(name waxwingpick.ServiceName) (config.Service, bool) {
+	cfg, _ := p.records.Config()
+	for _, s := range cfg.Services {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return config.Service{}, false
+}
+
+// modelService returns the targets of the service that serves a model.
+func (p *Process) modelService(model string) *serviceTargets {
+	cfg, _ := p.records.Config()
+	for _, s := range cfg.Services {
+		for _, m := range s.Models {
+			if m.Name == model {
+				return p.fleet.service(s.Name)
+			}
+		}
+	}
+	return nil
+}
+
+// Models returns the names of the models that targets serve now.
+func (p *Process) Models() []string {
+	models := waxwingpick.NewSet[string]()
+	for _, s := range p.fleet.all() {
+		s.addModels(&models)
+	}
+	return models.Sorted()
+}
--- /dev/null
+++ b/internal/entry/operator.go
@@ -0,0 +1,108 @@
+package entry
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"waxwingpick"
+	"waxwingpick/core/suspect"
+	"waxwingpick/io/operator"
+)
+
+// reportedNames bounds the workspaces, and the targets and the presets, that a burn report hears of from one entry.
+const reportedNames = 128
+
+var _ operator.Handler = (*Process)(nil)
+
+// Status tells an operator how the fleet stands as this entry sees it.
+func (p *Process) Status(_ context.Context, req operator.StatusRequest) (operator.Status, error) {
+	now := p.timers.Now()
+	s := operator.Status{
+		Entry:          p.options.Instance,
+		At:             now.UTC(),
+		Running:        p.gate.Running(),
+		ConfigRevision: p.configRevision(),
+		Preset:         p.preset().Name,
+		Authorities:    p.authority.Holdings(),
+		Suspects:       p.suspects.Records(now),
+		CertificateEnd: p.options.Credentials.NotAfter(),
+		OverRate:       p.quotas.overRate(now),
+	}
+	if err := p.Ready(); err != nil {
+		s.NotReady = err.Error()
+	}
+	s.Ready = s.NotReady == ""
+	s.Targets = p.targetStatus(now, req)
+	return s, nil
+}
+
+// targetStatus describes the targets that the request asks for.
+func (p *Process) targetStatus(now time.Time, req operator.StatusRequest) []operator.TargetStatus {
+	if req.WithoutTargets {
+		return nil
+	}
+	var all []operator.TargetStatus
+	for _, targets := range p.fleet.all() {
+		all = append(all, targets.status(now)...)
+	}
+	if len(req.Reported) == 0 {
+		return all
+	}
+	asked := waxwingpick.NewSet(req.Reported...)
+	return slices.DeleteFunc(all, func(t operator.TargetStatus) bool {
+		return !t.Known || !asked.Has(t.Target)
+	})
+}
+
+// Burn returns the counts of this entry, cut to its worst names, and the objectives of the preset in force.
+func (p *Process) Burn(_ context.Context, req operator.BurnRequest) (operator.BurnResponse, error) {
+	preset := p.preset()
+	snapshot := p.outcomes.burn.Snapshot(p.timers.Now()).Worst(reportedNames)
+	if req.WithoutPoints {
+		snapshot = snapshot.WithoutPoints()
+	}
+	return operator.BurnResponse{
+		Snapshot:       snapshot,
+		ConfigRevision: p.configRevision(),
+		Preset:         preset.Name,
+		Classes:        preset.Classes,
+	}, nil
+}
+
+// Lift clears a crash suspect here and tells the other entries.
+func (p *Process) Lift(_ context.Context, req operator.LiftRequest) (operator.LiftResponse, error) {
+	record := p.suspects.Lift(p.timers.Now(), req.Fingerprint)
+	p.log.WithField("fingerprint", req.Fingerprint.String()).Info("crash suspect lifted by an operator")
+	p.spreadSuspects([]suspect.Record{record})
+	return operator.LiftResponse{
+		Record: p.suspects.Record(req.Fingerprint),
+	}, nil
+}
+
+// status describes every target of the service, in the platform's order.
+func (s *serviceTargets) status(now time.Time) []operator.TargetStatus {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ejected := waxwingpick.NewSet(s.router.Ejected(now)...)
+	list := make([]operator.TargetStatus, 0, len(s.order))
+	for _, id := range s.order {
+		t := s.targets[id]
+		list = append(list, operator.TargetStatus{
+			Service:        t.instance.Service,
+			Target:         id,
+			Instance:       t.instance.ID,
+			Zone:           t.instance.Zone,
+			Active:         t.active,
+			Wanted:         t.wanted,
+			Leaving:        t.instance.Leaving || t.report.Load.Leaving,
+			Ejected:        ejected.Has(id),
+			Usable:         s.router.Usable(now, id),
+			Incarnation:    s.incarnations[id],
+			Known:          t.reported,
+			Load:           t.report.Load,
+			ConfigRevision: t.report.ConfigRevision,
+		})
+	}
+	return list
+}
--- /dev/null
+++ b/internal/entry/orders.go
@@ -0,0 +1,244 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"waxwingpick"
+	"waxwingpick/core/classify"
+	"waxwingpick/core/config"
+	"waxwingpick/core/ledger"
+	"waxwingpick/core/retry"
+	"waxwingpick/core/routing"
+	"waxwingpick/core/suspect"
+	"waxwingpick/io/openai"
+	"waxwingpick/io/sidecar"
+)
+
+// safeMethods may be repeated at every plain service.
+func safeMethods() []string {
+	return []string{"GET", "HEAD", "OPTIONS", "TRACE"}
+}
+
+// serviceCall is one request to a plain service on its way to an answer.
+type serviceCall struct {
+	process     *Process
+	call        openai.ServiceCall
+	targets     *serviceTargets
+	class       classify.Result
+	repeatable  bool
+	fingerprint suspect.Fingerprint
+	tried       []waxwingpick.TargetID
+	target      waxwingpick.TargetID
+}
+
+// Call sends a request to a plain service and returns the whole answer.
+func (p *Process) Call(ctx context.Context, call openai.ServiceCall) (waxwingpick.CallResponse, error) {
+	now := p.timers.Now()
+	id := uuid.NewString()
+	if err := p.enter(now, id); err != nil {
+		return waxwingpick.CallResponse{}, unclaimedRefusal(call, refusalOf(err))
+	}
+	defer p.gate.Leave(id)
+	targets := p.fleet.service(call.Service)
+	service, known := p.serviceConfig(call.Service)
+	if targets == nil || !known || service.Kind != config.KindPlain {
+		refusal := waxwingpick.NotRun(waxwingpick.ReasonWrongModel, 0, "no plain service "+string(call.Service))
+		return waxwingpick.CallResponse{}, unclaimedRefusal(call, refusal)
+	}
+	c := &serviceCall{
+		process:    p,
+		call:       call,
+		targets:    targets,
+		repeatable: repeatable(service, call.Request.Method),
+		fingerprint: suspect.Of(call.Caller.Workspace, string(call.Service)+" "+call.Request.Method+" "+call.Request.Path,
+			call.Request.Body),
+	}
+	c.class = p.classify(now, call.Caller, classify.Request{
+		BodyBytes:     len(call.Request.Body),
+		NotRepeatable: !c.repeatable,
+	})
+	if err := p.checkQuota(now, call.Caller.Workspace); err != nil {
+		refusal := unclaimedRefusal(call, refusalOf(err))
+		p.called(c, now, refusal)
+		return waxwingpick.CallResponse{}, refusal
+	}
+	ctx, cancel := context.WithDeadline(ctx, c.class.Deadline)
+	defer cancel()
+	resp, err := c.run(ctx)
+	p.called(c, now, err)
+	return resp, err
+}
+
+// unclaimedRefusal returns the refusal of a call whose claim nobody looked at: where the call has a key, an earlier
+// sending may have run.
+func unclaimedRefusal(call openai.ServiceCall, refusal *waxwingpick.Refusal) *waxwingpick.Refusal {
+	keyed := call.Caller.IdempotencyKey != "" && !slices.Contains(safeMethods(), call.Request.Method)
+	return finalRefusal(refusal, keyed)
+}
+
+func repeatable(service config.Service, method string) bool {
+	return slices.Contains(safeMethods(), method) || slices.Contains(service.RepeatableMethods, method)
+}
+
+func (c *serviceCall) run(ctx context.Context) (waxwingpick.CallResponse, error) {
+	if c.repeatable {
+		return c.runRepeatable(ctx)
+	}
+	order := ledger.Order{
+		BodyHash: ledger.HashCall(c.call.Request),
+		Deadline: c.class.Deadline,
+	}
+	if key := c.call.Caller.IdempotencyKey; key != "" {
+		order.Key = waxwingpick.Some(ledger.NewKey(c.call.Caller.Workspace, key))
+	}
+	answer, err := c.process.ledger.Place(withCall(ctx, c), order, c.call.Request, c.chooseOrder)
+	if err != nil {
+		return waxwingpick.CallResponse{}, err
+	}
+	return waxwingpick.CallResponse{
+		Status:  answer.Status,
+		Headers: answer.Headers,
+		Body:    answer.Body,
+	}, nil
+}
+
+// runRepeatable sends a call that may be repeated, within the retry budget.
+func (c *serviceCall) runRepeatable(ctx context.Context) (waxwingpick.CallResponse, error) {
+	mayHaveRun := false
+	for made := 1; ; made++ {
+		target, err := c.choose(c.tried)
+		if err != nil {
+			return waxwingpick.CallResponse{}, finalRefusal(callRefusal(err), mayHaveRun)
+		}
+		c.tried = append(c.tried, target.choice.Target)
+		result, err := c.send(ctx, uuid.NewString(), target, target.incarnation)
+		if err == nil {
+			return waxwingpick.CallResponse{
+				Status:  result.Status,
+				Headers: result.Headers,
+				Body:    result.Body,
+			}, nil
+		}
+		refusal := callRefusal(err)
+		mayHaveRun = mayHaveRun || refusal.Outcome != waxwingpick.OutcomeNotRun
+		verdict := c.process.decide(retry.Attempt{
+			Number:     made,
+			Refusal:    refusal,
+			Repeatable: true,
+			Deadline:   c.class.Deadline,
+		})
+		if !verdict.Retry {
+			return waxwingpick.CallResponse{}, finalRefusal(verdict.Refusal, mayHaveRun)
+		}
+		c.process.outcomes.metrics.Retry(refusal.Reason)
+		if !c.process.pause(ctx, verdict.Delay) {
+			return waxwingpick.CallResponse{}, waxwingpick.Unknown(waxwingpick.ReasonDeadline, "deadline passed before a retry")
+		}
+	}
+}
+
+// finalRefusal makes a refusal as not run unknown where an earlier attempt may have run.
+func finalRefusal(refusal *waxwingpick.Refusal, mayHaveRun bool) *waxwingpick.Refusal {
+	if !mayHaveRun || refusal.Outcome != waxwingpick.OutcomeNotRun {
+		return refusal
+	}
+	final := *refusal
+	final.Outcome = waxwingpick.OutcomeUnknown
+	return &final
+}
+
+// choose picks a target; a crash suspect goes to its home target alone.
+func (c *serviceCall) choose(exclude []waxwingpick.TargetID) (chosen, error) {
+	now := c.process.timers.Now()
+	req := routing.Request{
+		Class:    c.class.Class,
+		Deadline: c.class.Deadline,
+		Exclude:  exclude,
+	}
+	if err := c.process.isolate(&req, c.fingerprint, c.targets); err != nil {
+		return chosen{}, err
+	}
+	return c.targets.choose(now, req)
+}
+
+// chooseOrder picks a target for the ledger and names the incarnation that may run the attempt.
+func (c *serviceCall) chooseOrder(_ context.Context, tried waxwingpick.Set[waxwingpick.TargetID]) (ledger.Attempt, error) {
+	target, err := c.choose(tried.Sorted())
+	if err != nil {
+		return ledger.Attempt{}, err
+	}
+	// The ledger sends later, under a claim; only the choice is made here.
+	c.targets.done(c.process.timers.Now(), target, routing.ResultCancelled)
+	incarnation := target.incarnation
+	if incarnation == "" && c.process.probe(c.targets, target.instance) {
+		_, incarnation, _ = c.targets.instance(target.choice.Target)
+	}
+	if incarnation == "" {
+		return ledger.Attempt{}, waxwingpick.NotRun(waxwingpick.ReasonTargetUnreachable, time.Second, "sidecar's incarnation is not known")
+	}
+	return ledger.Attempt{
+		Service:     string(c.call.Service),
+		Target:      target.choice.Target,
+		Instance:    target.instance.ID,
+		Address:     target.instance.Control,
+		Incarnation: incarnation,
+	}, nil
+}
+
+// send hands one attempt to the target's sidecar.
+func (c *serviceCall) send(ctx context.Context, id string, target chosen, incarnation string) (sidecar.Result, error) {
+	c.target = target.choice.Target
+	result, err := c.process.data.Call(ctx, target.instance.Data, sidecar.Attempt{
+		ID:              id,
+		Service:         c.call.Service,
+		Target:          target.choice.Target,
+		Workspace:       c.call.Caller.Workspace,
+		Class:           c.class.Class,
+		Method:          c.call.Request.Method,
+		Path:            c.call.Request.Path,
+		Headers:         c.call.Request.Headers,
+		RemainingMillis: max(minRemaining, c.class.Deadline.Sub(c.process.timers.Now())).Milliseconds(),
+		Urgency:         c.class.Urgency,
+		ConfigRevision:  c.process.configRevision(),
+		Fingerprint:     c.fingerprint,
+		Suspicion:       c.process.suspicion(c.fingerprint),
+		Incarnation:     incarnation,
+		Repeatable:      c.repeatable,
+		Traceparent:     c.call.Caller.Traceparent,
+	}, c.call.Request.Body)
+	if result.Report != nil {
+		c.targets.observe(c.process.timers.Now(), *result.Report)
+	}
+	if err == nil && result.Refusal != nil {
+		err = result.Refusal
+	}
+	if target.choice.Target != "" {
+		c.targets.done(c.process.timers.Now(), target, callResult(err))
+	}
+	return result, err
+}
+
+func callResult(err error) routing.Result {
+	if err == nil {
+		return routing.ResultAnswered
+	}
+	return resultOf(context.Background(), attemptEnd{
+		refusal: callRefusal(err),
+	})
+}
+
+func callRefusal(err error) *waxwingpick.Refusal {
+	var refusal *waxwingpick.Refusal
+	switch {
+	case errors.As(err, &refusal):
+		return refusal
+	case errors.Is(err, waxwingpick.ErrEngineUnreachable):
+		return waxwingpick.NotRun(waxwingpick.ReasonTargetUnreachable, time.Second, err.Error())
+	}
+	return waxwingpick.Unknown(waxwingpick.ReasonTargetLost, err.Error())
+}
--- /dev/null
+++ b/internal/entry/outcomes.go
@@ -0,0 +1,77 @@
+package entry
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"waxwingpick"
+	"waxwingpick/core/burn"
+	"waxwingpick/io/prometheus"
+)
+
+// outcomes counts how requests ended, for metrics and the burn report.
+type outcomes struct {
+	metrics *prometheus.Metrics
+	burn    *burn.Recorder
+}
+
+// ended is one request that has its final answer.
+type ended struct {
+	service   waxwingpick.ServiceName
+	class     waxwingpick.Class
+	preset    string
+	target    waxwingpick.TargetID
+	workspace waxwingpick.WorkspaceID
+	took      time.Duration
+	// late says that the deadline had passed.
+	late bool
+	// err is nil where the answer is whole.
+	err error
+}
+
+func newOutcomes() (*outcomes, error) {
+	metrics, err := prometheus.New()
+	if err != nil {
+		return nil, fmt.Errorf("create metrics: %w", err)
+	}
+	if err := metrics.Runtime(); err != nil {
+		return nil, fmt.Errorf("create runtime metrics: %w", err)
+	}
+	recorder, err := burn.New()
+	if err != nil {
+		return nil, fmt.Errorf("create burn recorder: %w", err)
+	}
+	return &outcomes{
+		metrics: metrics,
+		burn:    recorder,
+	}, nil
+}
+
+func (o *outcomes) record(now time.Time, e ended) {
+	o.metrics.Request(e.service, e.class, resultOfEnd(e), e.took)
+	var refusal *waxwingpick.Refusal
+	if errors.As(e.err, &refusal) {
+		o.metrics.Refused(refusal)
+	}
+	o.burn.Record(now, burn.Event{
+		Class:     e.class,
+		Preset:    e.preset,
+		Target:    e.target,
+		Workspace: e.workspace,
+		Good:      e.err == nil && !e.late,
+	})
+}
+
+func resultOfEnd(e ended) prometheus.Result {
+	var refusal *waxwingpick.Refusal
+	switch {
+	case e.err == nil && e.late:
+		return prometheus.ResultLate
+	case e.err == nil:
+		return prometheus.ResultAnswered
+	case errors.As(e.err, &refusal) && refusal.Outcome == waxwingpick.OutcomeNotRun:
+		return prometheus.ResultNotRun
+	}
+	return prometheus.ResultUnknown
+}
--- /dev/null
+++ b/internal/etcdwire/wire.go
@@ -0,0 +1,179 @@
+// Package etcdwire holds the messages of the published etcd v3 HTTP/JSON gateway
+// that the adapter and its stand-in exchange: bytes in base64, 64 bit integers as text.
+package etcdwire
+
+// The paths of the gateway.
+const (
+	PathRange     = "/v3/kv/range"
+	PathTxn       = "/v3/kv/txn"
+	PathGrant     = "/v3/lease/grant"
+	PathKeepAlive = "/v3/lease/keepalive"
+	PathRevoke    = "/v3/lease/revoke"
+	PathWatch     = "/v3/watch"
+)
+
+// The gRPC status codes that the gateway puts into its errors.
+const (
+	CodeInvalidArgument   = 3
+	CodeNotFound          = 5
+	CodeResourceExhausted = 8
+	CodeUnavailable       = 14
+)
+
+// The messages of errors that tell more than their code.
+const (
+	MessageNoLeader        = "etcdserver: no leader"
+	MessageTooManyRequests = "etcdserver: too many requests"
+	MessageLeaseNotFound   = "etcdserver: requested lease not found"
+	MessageTooLarge        = "etcdserver: request is too large"
+)
+
+// Targets and results of a comparison.
+const (
+	TargetMod    = "MOD"
+	TargetCreate = "CREATE"
+	ResultEqual  = "EQUAL"
+)
+
+// Header stands in every response.
+type Header struct {
+	Revision int64 `json:"revision,string,omitempty"`
+}
+
+// KeyValue is one key with its value.
+type KeyValue struct {
+	Key            []byte `json:"key"`
+	CreateRevision int64  `json:"create_revision,string,omitempty"`
+	ModRevision    int64  `json:"mod_revision,string,omitempty"`
+	Version        int64  `json:"version,string,omitempty"`
+	Value          []byte `json:"value,omitempty"`
+	Lease          int64  `json:"lease,string,omitempty"`
+}
+
+// RangeRequest reads a key, or the keys up to RangeEnd.
+type RangeRequest struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end,omitempty"`
+	Limit    int64  `json:"limit,string,omitempty"`
+	// MinModRevision leaves out keys whose last write was before; zero leaves out none.
+	MinModRevision int64 `json:"min_mod_revision,string,omitempty"`
+}
+
+// RangeResponse answers a RangeRequest.
+type RangeResponse struct {
+	Header Header     `json:"header"`
+	Kvs    []KeyValue `json:"kvs,omitempty"`
+	More   bool       `json:"more,omitempty"`
+	Count  int64      `json:"count,string,omitempty"`
+}
+
+// Compare is one condition of a transaction.
+type Compare struct {
+	Result         string `json:"result,omitempty"`
+	Target         string `json:"target"`
+	Key            []byte `json:"key"`
+	ModRevision    int64  `json:"mod_revision,string,omitempty"`
+	CreateRevision int64  `json:"create_revision,string,omitempty"`
+}
+
+// PutRequest writes a key.
+type PutRequest struct {
+	Key   []byte `json:"key"`
+	Value []byte `json:"value,omitempty"`
+	Lease int64  `json:"lease,string,omitempty"`
+}
+
+// DeleteRangeRequest deletes a key.
+type DeleteRangeRequest struct {
+	Key []byte `json:"key"`
+}
+
+// RequestOp is one operation of a transaction.
+type RequestOp struct {
+	RequestPut         *PutRequest         `json:"request_put,omitempty"`
+	RequestDeleteRange *DeleteRangeRequest `json:"request_delete_range,omitempty"`
+}
+
+// TxnRequest runs the operations if every comparison holds.
+type TxnRequest struct {
+	Compare []Compare   `json:"compare"`
+	Success []RequestOp `json:"success"`
+}
+
+// PutResponse answers a PutRequest.
+type PutResponse struct {
+	Header Header `json:"header"`
+}
+
+// DeleteRangeResponse answers a DeleteRangeRequest.
+type DeleteRangeResponse struct {
+	Header  Header `json:"header"`
+	Deleted int64  `json:"deleted,string,omitempty"`
+}
+
+// ResponseOp answers a RequestOp.
+type ResponseOp struct {
+	ResponsePut         *PutResponse         `json:"response_put,omitempty"`
+	ResponseDeleteRange *DeleteRangeResponse `json:"response_delete_range,omitempty"`
+}
+
+// TxnResponse answers a TxnRequest.
+type TxnResponse struct {
+	Header    Header       `json:"header"`
+	Succeeded bool         `json:"succeeded,omitempty"`
+	Responses []ResponseOp `json:"responses,omitempty"`
+}
+
+// Lease is the request of grant, keep-alive and revoke, and the response of the first two; TTL is in seconds.
+type Lease struct {
+	ID  int64 `json:"ID,string,omitempty"`
+	TTL int64 `json:"TTL,string,omitempty"`
+}
+
+// KeepAliveResponse is one message of the keep-alive stream.
+type KeepAliveResponse struct {
+	Result Lease `json:"result"`
+}
+
+// WatchRequest opens a watch.
+type WatchRequest struct {
+	CreateRequest RangeRequest `json:"create_request"`
+}
+
+// Event is one change of a key; an empty Type is a put.
+type Event struct {
+	Type string   `json:"type,omitempty"`
+	Kv   KeyValue `json:"kv"`
+}
+
+// WatchResult is the content of one message of a watch stream.
+type WatchResult struct {
+	Header   Header  `json:"header"`
+	Created  bool    `json:"created,omitempty"`
+	Canceled bool    `json:"canceled,omitempty"`
+	Events   []Event `json:"events,omitempty"`
+}
+
+// WatchResponse is one message of a watch stream.
+type WatchResponse struct {
+	Result WatchResult `json:"result"`
+	Error  *Status     `json:"error,omitempty"`
+}
+
+// Status is the gateway's error.
+type Status struct {
+	Code    int    `json:"code"`
+	Message string `json:"message"`
+}
+
+// PrefixEnd returns the end of the range of all keys with the prefix.
+func PrefixEnd(prefix string) []byte {
+	end := []byte(prefix)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return end[:i+1]
+		}
+	}
+	return []byte{0}
+}
--- /dev/null
+++ b/internal/legrunner/runner_test.go
@@ -0,0 +1,251 @@
+package legrunner_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/stretchr/testify/require"
+
+	"waxwingpick"
+	"waxwingpick/core/legs"
+	"waxwingpick/core/timer"
+	"waxwingpick/internal/legrunner"
+	standin "waxwingpick/internal/standin/engine"
+	"waxwingpick/io/engine"
+)
+
+const (
+	prompt   = "a dossier of some words"
+	tokens   = 12
+	deadline = time.Hour
+)
+
+// pair is a prefill and a decode engine on the system's clock with a runner.
+type pair struct {
+	p, d   *standin.Engine
+	runner *legrunner.Runner
+	timers *timer.System
+}
+
+// hooked lets an engine's process die at a step of the request.
+type hooked struct {
+	waxwingpick.Engine
+	afterPrefill func()
+	afterImport  func()
+}
+
+func (h hooked) Prefill(ctx context.Context, req waxwingpick.GenerateRequest) (waxwingpick.KVExport, error) {
+	export, err := h.Engine.Prefill(ctx, req)
+	if h.afterPrefill != nil {
+		h.afterPrefill()
+	}
+	return export, err
+}
+
+func (h hooked) ImportKV(ctx context.Context, export waxwingpick.KVExport) (string, error) {
+	handle, err := h.Engine.ImportKV(ctx, export)
+	if h.afterImport != nil {
+		h.afterImport()
+	}
+	return handle, err
+}
+
+func newPair(t *testing.T, hooks hooked, prefillOpts ...standin.Option) pair {
+	t.Helper()
+	two := pair{
+		p:      newEngine(t, prefillOpts...),
+		d:      newEngine(t),
+		timers: timer.NewSystem(),
+	}
+	t.Cleanup(two.timers.Close)
+	clients := map[waxwingpick.TargetID]hooked{
+		"p": hooks.on(connect(t, two.p)),
+		"d": hooks.on(connect(t, two.d)),
+	}
+	two.runner = legrunner.New(two.timers, func(target waxwingpick.TargetID) waxwingpick.Engine {
+		return clients[target]
+	})
+	return two
+}
+
+func (h hooked) on(e waxwingpick.Engine) hooked {
+	h.Engine = e
+	return h
+}
+
+func newEngine(t *testing.T, opts ...standin.Option) *standin.Engine {
+	t.Helper()
+	// A crashed engine stays away, so that a test does not depend on when it comes back.
+	e, err := standin.New(append(opts, standin.RestartTime(time.Hour), standin.ChangeTime(time.Hour))...)
+	require.NoError(t, err)
+	t.Cleanup(e.Close)
+	return e
+}
+
+func connect(t *testing.T, e *standin.Engine) *engine.Client {
+	t.Helper()
+	c, err := engine.New(e.Addr())
+	require.NoError(t, err)
+	t.Cleanup(c.Close)
+	return c
+}
+
+// choice prefers two engines and falls back to one after the time for the legs.
+func choice(legTime time.Duration) legs.Choice {
+	return legs.Choice{
+		Single:  legs.Estimate{Target: "d", Prefill: deadline - legTime},
+		Prefill: legs.Estimate{Target: "p"},
+		Decode:  legs.Estimate{Target: "d"},
+	}
+}
+
+// run reads one request to its end and waits until everything that it left behind is freed.
+func (two pair) run(ctx context.Context, choice legs.Choice) error {
+	defer two.runner.Wait()
+	req := waxwingpick.GenerateRequest{
+		StreamID: "attempt",
+		Path:     "/v1/completions",
+		Body:     []byte(`{"prompt":"` + prompt + `","max_tokens":12,"stream":true}`),
+	}
+	s, err := two.runner.Run(ctx, choice, req, two.timers.Now().Add(deadline))
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	for _, token := range standin.Answer(prompt, tokens) {
+		event, err := s.Next()
+		if err != nil {
+			return err
+		}
+		if !strings.Contains(string(event.Data), token) {
+			return errForeign
+		}
+	}
+	last, err := s.Next()
+	if err == nil && !last.Last {
+		return errForeign
+	}
+	return err
+}
+
+var errForeign = eris.New("not the request's own answer")
+
+func TestFaultTable(t *testing.T) {
+	tests := []struct {
+		name  string
+		fault func(two pair)
+		// prefill sets up the first engine.
+		prefill []standin.Option
+		// crashAfter crashes and restarts the first engine behind its prefill, or the second behind its import.
+		crashAfter string
+		// refused is the outcome of a request that is not answered.
+		refused waxwingpick.Outcome
+		// handOver says that the second engine computed none of the prompt.
+		handOver bool
+	}{
+		{name: "none", handOver: true},
+		{name: "prefill engine down", fault: func(two pair) { two.p.Down(0) }},
+		{name: "prefill request lost", fault: func(two pair) { two.p.LoseRequests("/kv/prefill", 1) }},
+		{name: "export answer lost", fault: func(two pair) { two.p.LoseAnswers("/kv/prefill", 1) }},
+		{name: "prefill engine crashes during the export", prefill: []standin.Option{standin.CrashMarker("dossier")}},
+		{name: "prefill engine crashes behind the export", crashAfter: "prefill", handOver: true},
+		{name: "prefill engine carries out an order", fault: func(two pair) { two.order(two.p) }},
+		{name: "prefill engine has another version", prefill: []standin.Option{standin.Boot(waxwingpick.EngineConfig{Model: "standin", Version: "2"})}},
+		{name: "import request lost", fault: func(two pair) { two.d.LoseRequests("/kv/import", 1) }},
+		{name: "import answer lost", fault: func(two pair) { two.d.LoseAnswers("/kv/import", 1) }},
+		{name: "decode engine crashes behind the import", crashAfter: "import"},
+		{name: "start answer lost", fault: func(two pair) { two.d.LoseAnswers("/v1/completions", 1) }, handOver: true},
+		{name: "start request lost", fault: func(two pair) { two.d.LoseRequests("/v1/completions", 1) }, refused: waxwingpick.OutcomeUnknown},
+		{name: "start and resume lost", fault: func(two pair) {
+			two.d.LoseAnswers("/v1/completions", 1)
+			two.d.LoseAnswers("/v1/streams", 1)
+		}, refused: waxwingpick.OutcomeUnknown},
+		{name: "decode engine down", fault: func(two pair) { two.d.Down(0) }, refused: waxwingpick.OutcomeNotRun},
+		{name: "both down", fault: func(two pair) { two.p.Down(0); two.d.Down(0) }, refused: waxwingpick.OutcomeNotRun},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			var two pair
+			var hooks hooked
+			switch test.crashAfter {
+			case "prefill":
+				hooks.afterPrefill = func() { two.p.Crash() }
+			case "import":
+				hooks.afterImport = func() { two.d.Crash(); two.d.Up() }
+			}
+			two = newPair(t, hooks, test.prefill...)
+			if test.fault != nil {
+				test.fault(two)
+			}
+			err := two.run(t.Context(), choice(deadline-time.Minute))
+			if test.refused == "" {
+				require.NoError(t, err)
+				require.Equal(t, 1, two.generations())
+				require.Equal(t, test.handOver, two.d.Record().PrefillTokens == 0)
+			} else {
+				var refusal *waxwingpick.Refusal
+				require.ErrorAs(t, err, &refusal)
+				require.Equal(t, test.refused, refusal.Outcome)
+				require.LessOrEqual(t, two.generations(), 1)
+			}
+			two.requireEmpty(t)
+		})
+	}
+}
+
+func TestLegThatTakesTooLongIsLeftAndFreed(t *testing.T) {
+	two := newPair(t, hooked{}, standin.Speed(deadline, 0))
+	require.NoError(t, two.run(t.Context(), choice(time.Millisecond)))
+	require.Equal(t, 1, two.generations())
+	two.requireEmpty(t)
+}
+
+func TestCallerThatLeavesFreesEverything(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	two := newPair(t, hooked{}, standin.Speed(deadline, 0))
+	done := make(chan error)
+	go func() {
+		done <- two.run(ctx, choice(deadline-time.Minute))
+	}()
+	require.Eventually(t, func() bool {
+		return two.p.Load().PiecesUsed > 0
+	}, time.Minute, time.Millisecond)
+	cancel()
+	var refusal *waxwingpick.Refusal
+	require.ErrorAs(t, <-done, &refusal)
+	require.Equal(t, waxwingpick.OutcomeNotRun, refusal.Outcome)
+	require.Zero(t, two.generations())
+	two.requireEmpty(t)
+}
+
+// generations counts the answers that were generated, without the prefills.
+func (two pair) generations() int {
+	n := 0
+	for _, e := range []*standin.Engine{two.p, two.d} {
+		for id, runs := range e.Record().Runs {
+			if !strings.HasPrefix(id, "prefill-") {
+				n += runs
+			}
+		}
+	}
+	return n
+}
+
+func (two pair) requireEmpty(t *testing.T) {
+	t.Helper()
+	for _, e := range []*standin.Engine{two.p, two.d} {
+		require.Zero(t, e.Load().PiecesUsed)
+	}
+}
+
+// order puts an engine into a change that does not end within the test.
+func (two pair) order(e *standin.Engine) {
+	_ = e.Submit(waxwingpick.EngineOrder{
+		Number: 1,
+		Config: waxwingpick.EngineConfig{Model: "other"},
+	})
+}
--- /dev/null
+++ b/internal/measure/capacity/process.go
@@ -0,0 +1,231 @@
+package main
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/rotisserie/eris"
+
+	"waxwingpick/internal/daemon"
+)
+
+const (
+	// clockTicks is the unit of processor times in the proc file system, per second.
+	clockTicks  = 100
+	kibibyte    = 1024
+	startLimit  = 30 * time.Second
+	startPoll   = 50 * time.Millisecond
+	stopLimit   = 10 * time.Second
+	daemonEntry = "entry"
+	daemonSide  = "sidecar"
+)
+
+// runDaemon runs the daemon that the arguments name; it reports whether they do.
+func runDaemon(args []string) (subcommands.ExitStatus, bool) {
+	if len(args) < 2 || args[1] != daemonEntry && args[1] != daemonSide {
+		return 0, false
+	}
+	top := flag.NewFlagSet(args[0], flag.ExitOnError)
+	commander := subcommands.NewCommander(top, "capacity")
+	commander.Register(daemon.EntryCommand(), "")
+	commander.Register(daemon.SidecarCommand(), "")
+	if err := top.Parse(args[1:]); err != nil {
+		return subcommands.ExitUsageError, true
+	}
+	return commander.Execute(context.Background()), true
+}
+
+// process is a daemon under measurement.
+type process struct {
+	cmd  *exec.Cmd
+	dir  string
+	over chan error
+}
+
+// spawn starts a daemon with the settings and waits until its control port takes connections.
+func spawn(kind, settings, control string) (*process, error) {
+	dir, err := os.MkdirTemp("", "capacity")
+	if err != nil {
+		return nil, fmt.Errorf("create settings: %w", err)
+	}
+	path := filepath.Join(dir, "settings.yaml")
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		return nil, fmt.Errorf("write settings: %w", err)
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return nil, fmt.Errorf("find the command: %w", err)
+	}
+	p := &process{
+		cmd:  exec.Command(self, kind, "-settings", path),
+		dir:  dir,
+		over: make(chan error, 1),
+	}
+	p.cmd.Stderr = &bytes.Buffer{}
+	if err := p.cmd.Start(); err != nil {
+		return nil, fmt.Errorf("start %s: %w", kind, err)
+	}
+	go func() {
+		p.over <- p.cmd.Wait()
+	}()
+	if !await(startLimit, func() bool { return takesConnections(control) }) {
+		p.stop()
+		return nil, eris.Errorf("%s did not start: %s", kind, p.cmd.Stderr)
+	}
+	return p, nil
+}
+
+func takesConnections(addr string) bool {
+	c, err := net.DialTimeout("tcp", addr, startPoll)
+	if err != nil {
+		return false
+	}
+	c.Close()
+	return true
+}
+
+// stop ends the process, at first gracefully.
+func (p *process) stop() {
+	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-p.over:
+	case <-time.After(stopLimit):
+		_ = p.cmd.Process.Kill()
+		<-p.over
+	}
+	os.RemoveAll(p.dir)
+}
+
+// usage is a reading of a process's counters.
+type usage struct {
+	at       time.Time
+	cpu      time.Duration
+	bytes    int64
+	resident int64
+}
+
+// rates is what a process used between two readings.
+type rates struct {
+	took     time.Duration
+	cores    float64
+	bytes    float64
+	resident float64
+	kinds    kinds
+}
+
+func (u usage) since(before usage) rates {
+	took := u.at.Sub(before.at)
+	return rates{
+		took:     took,
+		cores:    (u.cpu - before.cpu).Seconds() / took.Seconds(),
+		bytes:    float64(u.bytes-before.bytes) / took.Seconds(),
+		resident: float64(u.resident),
+	}
+}
+
+// during measures the process for a time.
+func (p *process) during(d time.Duration) (rates, error) {
+	before, err := p.usage()
+	if err != nil {
+		return rates{}, err
+	}
+	time.Sleep(d)
+	after, err := p.usage()
+	return after.since(before), err
+}
+
+func (p *process) usage() (usage, error) {
+	u := usage{
+		at: time.Now(),
+	}
+	stat, err := p.file("stat")
+	if err != nil {
+		return u, err
+	}
+	// The fields after the command's name, which may hold spaces; user and system time are the 12th and 13th.
+	fields := strings.Fields(stat[strings.LastIndex(stat, ")")+1:])
+	for _, f := range fields[11:13] {
+		ticks, err := strconv.ParseInt(f, 10, 64)
+		if err != nil {
+			return u, fmt.Errorf("parse processor time: %w", err)
+		}
+		u.cpu += time.Duration(ticks) * time.Second / clockTicks
+	}
+	if u.resident, err = p.counter("status", "VmRSS:"); err != nil {
+		return u, err
+	}
+	u.resident *= kibibyte
+	for _, name := range []string{"rchar:", "wchar:"} {
+		n, err := p.counter("io", name)
+		if err != nil {
+			return u, err
+		}
+		u.bytes += n
+	}
+	return u, nil
+}
+
+func (p *process) file(name string) (string, error) {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/%s", p.cmd.Process.Pid, name))
+	if err != nil {
+		return "", fmt.Errorf("read counters: %w", err)
+	}
+	return string(data), nil
+}
+
+// counter returns the number behind a name in one of the process's files.
+func (p *process) counter(file, name string) (int64, error) {
+	text, err := p.file(file)
+	if err != nil {
+		return 0, err
+	}
+	for lines := bufio.NewScanner(strings.NewReader(text)); lines.Scan(); {
+		fields := strings.Fields(lines.Text())
+		if len(fields) > 1 && fields[0] == name {
+			return strconv.ParseInt(fields[1], 10, 64)
+		}
+	}
+	return 0, eris.Errorf("%s has no %s", file, name)
+}
+
+// freeAddr returns a loopback address that was free a moment ago.
+func freeAddr() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("find a free port: %w", err)
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
+
+func await(limit time.Duration, done func() bool) bool {
+	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(startPoll) {
+		if done() {
+			return true
+		}
+	}
+	return false
+}
+
+// ready reports whether an entry says that it takes requests.
+func ready(addr string) bool {
+	resp, err := http.Get("http://" + addr + "/readyz")
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/internal/measure/capacity/tls.go
@@ -0,0 +1,55 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"waxwingpick/core/timer"
+	"waxwingpick/internal/standin/ca"
+	"waxwingpick/io/mtls"
+)
+
+// security issues certificates to what is measured and to what talks to it; nil leaves all of it plain.
+type security struct {
+	authority *ca.Authority
+	dir       string
+}
+
+func newSecurity() (*security, error) {
+	authority, err := ca.New(time.Now())
+	if err != nil {
+		return nil, err
+	}
+	dir, err := os.MkdirTemp("", "capacity")
+	if err != nil {
+		return nil, fmt.Errorf("create directory of certificates: %w", err)
+	}
+	return &security{
+		authority: authority,
+		dir:       dir,
+	}, nil
+}
+
+func (s *security) close() {
+	if s != nil {
+		os.RemoveAll(s.dir)
+	}
+}
+
+// settings returns the section of a daemon's settings.
+func (s *security) settings(role mtls.Role) (string, error) {
+	if s == nil {
+		return "", nil
+	}
+	files, err := s.authority.Write(s.dir, string(role), ca.HolderOf(mtls.NewIdentity("", role)))
+	return fmt.Sprintf("tls: {certificate: %s, key: %s, authorities: %s}\n", files.Certificate, files.Key, files.Authorities), err
+}
+
+// credentials returns what the command's own process talks with.
+func (s *security) credentials(role mtls.Role) (*mtls.Credentials, error) {
+	if s == nil {
+		return nil, nil
+	}
+	return s.authority.Credentials(s.dir, mtls.NewIdentity("", role), timer.NewSystem())
+}
--- /dev/null
+++ b/internal/measure/policy/doc.go
@@ -0,0 +1,7 @@
+// Command policy measures role policies in virtual time.
+//
+// It prints the tables of docs/measurements/policy.md, and draws its plots:
+//
+//	go run ./internal/measure/policy
+//	go run ./internal/measure/policy -plots docs/plots
+package main
--- /dev/null
+++ b/internal/measure/policy/tables.go
@@ -0,0 +1,193 @@
+package main
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+
+	"waxwingpick"
+)
+
+// measurement runs benches and prints their tables.
+type measurement struct {
+	load     float64
+	quick    float64
+	seeds    int
+	length   time.Duration
+	parallel int
+	policy   string
+	trace    string
+	fleet    string
+	plots    string
+	format   string
+	chunk    int
+}
+
+const header = "| policy | goodput/s (least–most) | late quick | late long | first token within 0.89 s | role changes | engine-seconds lost | score/s |\n" +
+	"|---|---|---|---|---|---|---|---|"
+
+// row is one policy's line in a table.
+type row struct {
+	policy controlPolicy
+	// goodput, least and most are answers in time per second: the mean of all seeds and the spread.
+	goodput, least, most float64
+	// offered is the requests per second.
+	offered             float64
+	lateQuick, lateLong float64
+	prompt              float64
+	// promptGoodput leaves out quick answers whose first token was late.
+	promptGoodput float64
+	changes, lost float64
+	// score takes the customer's price of each role change off the goodput.
+	score float64
+	// points are the answers in time by second of arrival, over all seeds.
+	points []float64
+}
+
+func (m measurement) tables() error {
+	for _, f := range []fleet{tanzplan(), cacaotera()} {
+		if m.fleet != "" && f.name != m.fleet {
+			continue
+		}
+		var figures []figure
+		for _, t := range traces() {
+			if m.trace != "" && t.name != m.trace {
+				continue
+			}
+			rows, err := m.table(f, t)
+			if err != nil {
+				return err
+			}
+			figures = append(figures, figure{
+				fleet: f,
+				trace: t,
+				rows:  rows,
+			})
+			if err := m.draw(f, figures); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (m measurement) table(f fleet, t trace) ([]row, error) {
+	fmt.Printf("\n### %s (%d engines + %d plain), %s, load %.2f, quick %.2f, chunk %d\n\n%s\n", f.name, f.engines, f.plain, t.name, m.load, m.quick, m.chunk, header)
+	var rows []row
+	for _, p := range policies(f) {
+		if m.policy != "" && p.name != m.policy {
+			continue
+		}
+		r, err := m.row(f, t, p)
+		if err != nil {
+			return nil, err
+		}
+		fmt.Println(r)
+		rows = append(rows, r)
+	}
+	compare(rows)
+	return rows, nil
+}
+
+// compare prints each policy's goodput against the best fixed split, with and without quick answers whose first token
+// was late, and its role changes against the threshold's.
+func compare(rows []row) {
+	best, prompt, threshold := 0.0, 0.0, 0.0
+	for _, r := range rows {
+		if r.policy.fixed {
+			best = max(best, r.goodput)
+			prompt = max(prompt, r.promptGoodput)
+		}
+		if r.policy.name == thresholdName {
+			threshold = r.changes
+		}
+	}
+	fmt.Println()
+	if best > 0 {
+		fmt.Printf("- every request in time: %.3f of the best fixed split\n", rows[0].offered/best)
+	}
+	for _, r := range rows {
+		if r.policy.fixed || best == 0 {
+			continue
+		}
+		fmt.Printf("- %s: %.3f of the best fixed split, %.3f where first tokens count, %.1f role changes for the threshold's %.1f\n",
+			r.policy.name, r.goodput/best, r.promptGoodput/prompt, r.changes, threshold)
+	}
+}
+
+func (m measurement) row(f fleet, t trace, p controlPolicy) (row, error) {
+	results := make([]result, m.seeds)
+	work := pool.New().WithErrors().WithMaxGoroutines(m.parallel)
+	for i := range results {
+		work.Go(func() error {
+			b := bench{
+				fleet:  f,
+				trace:  t,
+				policy: p,
+				seed:   uint64(i + 1),
+				load:   m.load,
+				quick:  m.quick,
+				length: m.length,
+				chunk:  m.chunk,
+			}
+			r, err := b.run()
+			results[i] = r
+			return err
+		})
+	}
+	if err := work.Wait(); err != nil {
+		return row{}, fmt.Errorf("policy %s: %w", p.name, err)
+	}
+	return m.summarize(f, p, results), nil
+}
+
+func (m measurement) summarize(f fleet, p controlPolicy, results []result) row {
+	r := row{
+		policy: p,
+		points: make([]float64, len(results[0].points)),
+	}
+	n := float64(len(results))
+	var goodputs []float64
+	offered, inTime := make(map[waxwingpick.Class]int), make(map[waxwingpick.Class]int)
+	prompt := 0
+	for _, one := range results {
+		g := one.goodput(m.length)
+		goodputs = append(goodputs, g)
+		r.goodput += g / n
+		r.changes += float64(one.changes) / n
+		r.lost += one.lost / n
+		prompt += one.prompt
+		slow := one.inTime[waxwingpick.ClassQuick] - one.prompt
+		r.promptGoodput += (g - float64(slow)/m.length.Seconds()) / n
+		for class := range one.offered {
+			r.offered += float64(one.offered[class]) / n / m.length.Seconds()
+			offered[class] += one.offered[class]
+			inTime[class] += one.inTime[class]
+		}
+		for i, v := range one.points {
+			r.points[i] += float64(v) / n
+		}
+	}
+	r.least, r.most = slices.Min(goodputs), slices.Max(goodputs)
+	r.lateQuick = lateShare(offered, inTime, waxwingpick.ClassQuick)
+	r.lateLong = lateShare(offered, inTime, waxwingpick.ClassLong)
+	r.prompt = float64(prompt) / float64(max(1, offered[waxwingpick.ClassQuick]))
+	r.score = r.goodput - f.price*r.changes/m.length.Seconds()
+	return r
+}
+
+func lateShare(offered, inTime map[waxwingpick.Class]int, class waxwingpick.Class) float64 {
+	return 1 - float64(inTime[class])/float64(max(1, offered[class]))
+}
+
+// String returns the row as a line of a table.
+func (r row) String() string {
+	return fmt.Sprintf("| %s | %.2f (%.2f–%.2f) | %.3f | %.3f | %.3f | %.1f | %.0f | %.2f |",
+		r.policy.name, r.goodput, r.least, r.most, r.lateQuick, r.lateLong, r.prompt, r.changes, r.lost, r.score)
+}
+
+func splitName(prefill, decode int) string {
+	return fmt.Sprintf("fixed %d prefill, %d decode", prefill, decode)
+}
--- /dev/null
+++ b/internal/measure/requests/scenario.go
@@ -0,0 +1,293 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"waxwingpick"
+	"waxwingpick/internal/virtual"
+)
+
+// fleet is one customer's model engines with the load that is sent to them.
+type fleet struct {
+	name    string
+	engines int
+	// entries is the number of entries; one in each availability zone where it is less.
+	entries int
+	spec    func(id waxwingpick.TargetID, zone waxwingpick.AvailabilityZone) virtual.EngineSpec
+	zones   []waxwingpick.AvailabilityZone
+	streams []virtual.Stream
+	// capacity is the share of the engines' computed work at which the all-knowing greedy policy still
+	// answers 99 in 100 of each class in time under a steady mix; the -capacity flag shows it.
+	capacity float64
+}
+
+func tanzplan() fleet {
+	return fleet{
+		name:    "Tanzplan",
+		engines: 12,
+		spec:    virtual.DefaultSpec,
+		zones:   []waxwingpick.AvailabilityZone{"at-ost-a", "at-ost-b", "at-ost-c", "at-ost-d"},
+		streams: []virtual.Stream{
+			quickStream(300, 80),
+			longStream(9000, 1200, 2*time.Minute),
+		},
+		capacity: 1.26,
+	}
+}
+
+func cacaotera() fleet {
+	return fleet{
+		name:    "Cacaotera",
+		engines: 18,
+		spec:    virtual.DefaultSpec,
+		zones:   []waxwingpick.AvailabilityZone{"sierra-a", "sierra-b", "sierra-c"},
+		streams: []virtual.Stream{
+			quickStream(500, 80),
+			longStream(24000, 300, time.Minute),
+		},
+		capacity: 0.99,
+	}
+}
+
+// plain returns the customer's plain services: their calls share a target's processor, so that latency grows with
+// the number of calls that run at once.
+func (f fleet) plain(targets int) fleet {
+	return fleet{
+		name:    f.name + " plain services",
+		engines: targets,
+		spec:    plainSpec,
+		zones:   f.zones,
+		streams: []virtual.Stream{{
+			Name:  "order",
+			Class: waxwingpick.ClassOrder,
+			Prompt: virtual.Size{
+				Median: 1,
+				Most:   1,
+			},
+			Output: virtual.Size{
+				Median: 20,
+				Sigma:  0.3,
+				Most:   60,
+			},
+			Deadline:   2 * time.Second,
+			Workspaces: 300,
+		}},
+		capacity: 1,
+	}
+}
+
+// plainSpec describes a service in which a call takes 20 slices of a millisecond on average.
+func plainSpec(id waxwingpick.TargetID, zone waxwingpick.AvailabilityZone) virtual.EngineSpec {
+	return virtual.EngineSpec{
+		ID:                     id,
+		Zone:                   zone,
+		Slots:                  plainSlots,
+		Pieces:                 plainSlots,
+		StepPerSequence:        time.Millisecond,
+		PrefillTokensPerSecond: 10_000,
+		StepTokens:             plainSlots,
+		RestartTime:            10 * time.Second,
+	}
+}
+
+// plainSlots is beyond what a plain service runs at once.
+const plainSlots = 1_000_000
+
+func quickStream(prompt, output float64) virtual.Stream {
+	return virtual.Stream{
+		Name:  "quick",
+		Class: waxwingpick.ClassQuick,
+		Prompt: virtual.Size{
+			Median: prompt,
+			Sigma:  0.6,
+			Most:   3000,
+		},
+		Output: virtual.Size{
+			Median: output,
+			Sigma:  0.3,
+			Most:   600,
+		},
+		PrefixBlocks:   1,
+		Deadline:       12 * time.Second,
+		Workspaces:     300,
+		WorkspaceSigma: 0.3,
+	}
+}
+
+func longStream(prompt, output float64, deadline time.Duration) virtual.Stream {
+	return virtual.Stream{
+		Name:  "long",
+		Class: waxwingpick.ClassLong,
+		Prompt: virtual.Size{
+			Median: prompt,
+			Sigma:  0.5,
+			Most:   80000,
+		},
+		Output: virtual.Size{
+			Median: output,
+			Sigma:  0.4,
+			Most:   2500,
+		},
+		PrefixBlocks:   1,
+		Deadline:       deadline,
+		Workspaces:     100,
+		WorkspaceSigma: 0.4,
+	}
+}
+
+// swing is how far the two streams go from their mean in one phase.
+type swing struct {
+	seconds     int
+	quick, long float64
+}
+
+func steadySwings() []swing {
+	return []swing{{
+		seconds: 60,
+		quick:   1,
+		long:    1,
+	}}
+}
+
+func movingSwings() []swing {
+	return []swing{
+		{
+			seconds: 60,
+			quick:   1.4,
+			long:    0.5,
+		},
+		{
+			seconds: 75,
+			quick:   0.6,
+			long:    1.7,
+		},
+		{
+			seconds: 45,
+			quick:   1.6,
+			long:    1.3,
+		},
+		{
+			seconds: 60,
+			quick:   0.5,
+			long:    0.6,
+		},
+	}
+}
+
+// mixOf returns a mix in which the streams take equal parts of the work on average and that keeps the load of the
+// engines busy.
+func (f fleet) mixOf(swings []swing, load float64) virtual.Mix {
+	spec := f.spec("", "")
+	mix := virtual.Mix{
+		Streams: f.streams,
+	}
+	for _, s := range swings {
+		phase := virtual.Phase{
+			Length: time.Duration(s.seconds) * time.Second,
+		}
+		factors := []float64{s.quick, s.long}
+		for i, stream := range f.streams {
+			phase.Rates = append(phase.Rates, factors[i]/stream.EngineSeconds(spec))
+		}
+		mix.Phases = append(mix.Phases, phase)
+	}
+	return mix.Scaled(load*f.capacity*float64(f.engines), spec)
+}
+
+func (f fleet) zone(i int) waxwingpick.AvailabilityZone {
+	return f.zones[i%len(f.zones)]
+}
+
+// entryName returns the name of an entry, which its choice of a sample hangs on.
+func (f fleet) entryName(i int) waxwingpick.InstanceID {
+	name := "entry-" + string(f.zone(i))
+	if f.entries > len(f.zones) {
+		name += fmt.Sprintf("-%d", i/len(f.zones))
+	}
+	return waxwingpick.InstanceID(name)
+}
+
+func (f fleet) newEngineSpec(i int) virtual.EngineSpec {
+	return f.spec(waxwingpick.TargetID(fmt.Sprintf("engine-%02d", i)), f.zone(i))
+}
+
+// scenario is one load with its faults.
+type scenario struct {
+	name   string
+	swings []swing
+	load   float64
+	// lateness is the age of load reports when they reach the entries.
+	lateness time.Duration
+	// slowEngine stretches the steps of the first engine three times.
+	slowEngine bool
+	// poison sends one request that crashes each engine that runs it.
+	poison bool
+}
+
+const slowFactor = 3
+
+// plainScenarios offers plain services less and more than they can do.
+func plainScenarios() []scenario {
+	return []scenario{
+		{
+			name:     "steady, reports 250 ms late",
+			swings:   steadySwings(),
+			load:     0.9,
+			lateness: 250 * time.Millisecond,
+		},
+		{
+			name:     "surge, reports 250 ms late",
+			swings:   steadySwings(),
+			load:     1.3,
+			lateness: 250 * time.Millisecond,
+		},
+	}
+}
+
+func scenarios(load float64) []scenario {
+	return []scenario{
+		{
+			name:   "steady, reports 0 ms late",
+			swings: steadySwings(),
+			load:   load,
+		},
+		{
+			name:   "moving, reports 0 ms late",
+			swings: movingSwings(),
+			load:   load,
+		},
+		{
+			name:     "moving, reports 250 ms late",
+			swings:   movingSwings(),
+			load:     load,
+			lateness: 250 * time.Millisecond,
+		},
+		{
+			name:     "moving, reports 1,000 ms late",
+			swings:   movingSwings(),
+			load:     load,
+			lateness: time.Second,
+		},
+		{
+			name:     "moving, reports 250 ms late, a third more load",
+			swings:   movingSwings(),
+			load:     load * 4 / 3,
+			lateness: 250 * time.Millisecond,
+		},
+		{
+			name:       "moving, 250 ms late, one engine slow",
+			swings:     movingSwings(),
+			load:       load,
+			lateness:   250 * time.Millisecond,
+			slowEngine: true,
+		},
+		{
+			name:     "moving, 250 ms late, one poison request",
+			swings:   movingSwings(),
+			load:     load,
+			lateness: 250 * time.Millisecond,
+			poison:   true,
+		},
+	}
+}
--- /dev/null
+++ b/internal/operator/entries_test.go
@@ -0,0 +1,192 @@
+package operator_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"waxwingpick"
+	"waxwingpick/core/burn"
+	"waxwingpick/core/config"
+	"waxwingpick/core/quota"
+	"waxwingpick/internal/operator"
+	"waxwingpick/io/jsonrpc"
+	entries "waxwingpick/io/operator"
+)
+
+// fleetSize is the fleet of an entriesFake: each entry has reports of a sample of the targets, and none has one of the
+// last target.
+type fleetSize struct {
+	entries, zones, targets, sample int
+}
+
+// entriesFake answers operators' calls as all entries of a fleet would, and counts what it sends.
+type entriesFake struct {
+	fleetSize
+	list  []waxwingpick.Instance
+	bytes atomic.Int64
+}
+
+// entryFake is one of its entries.
+type entryFake struct {
+	fleet  *entriesFake
+	number int
+}
+
+func newEntriesFake(t testing.TB, size fleetSize) *entriesFake {
+	f := &entriesFake{
+		fleetSize: size,
+	}
+	for i := range size.entries {
+		s := jsonrpc.NewServer("")
+		entries.Register(s, entryFake{
+			fleet:  f,
+			number: i,
+		})
+		addr, err := s.Start("127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(s.Close)
+		f.list = append(f.list, waxwingpick.Instance{
+			ID:      waxwingpick.InstanceID(fmt.Sprintf("entry-%03d", i)),
+			Kind:    waxwingpick.KindEntry,
+			Zone:    waxwingpick.AvailabilityZone(fmt.Sprintf("zone-%d", i%size.zones)),
+			Control: addr,
+		})
+	}
+	return f
+}
+
+// Instances is the platform's list.
+func (f *entriesFake) Instances(context.Context) ([]waxwingpick.Instance, error) {
+	return f.list, nil
+}
+
+func (f *entriesFake) count(answer any) error {
+	raw, err := json.Marshal(answer)
+	f.bytes.Add(int64(len(raw)))
+	return err
+}
+
+func (e entryFake) Status(_ context.Context, req entries.StatusRequest) (entries.Status, error) {
+	f := e.fleet
+	s := entries.Status{
+		Ready:          true,
+		ConfigRevision: 7,
+		OverRate: []quota.OverRate{{
+			Workspace: "studio-1",
+			Refused:   2,
+		}},
+	}
+	asked := waxwingpick.NewSet(req.Reported...)
+	for i := range f.targets {
+		known := i < f.targets-1 && (i+f.targets-e.number*f.sample%f.targets)%f.targets < f.sample
+		target := entries.TargetStatus{
+			Service:        "stundenplan-llm",
+			Target:         waxwingpick.TargetID(fmt.Sprintf("stundenplan-llm-%03d", i)),
+			Known:          known,
+			ConfigRevision: 7,
+		}
+		switch {
+		case req.WithoutTargets:
+		case len(req.Reported) == 0, known && asked.Has(target.Target):
+			s.Targets = append(s.Targets, target)
+		}
+	}
+	return s, f.count(s)
+}
+
+func (e entryFake) Burn(context.Context, entries.BurnRequest) (entries.BurnResponse, error) {
+	r, err := burn.New()
+	if err != nil {
+		return entries.BurnResponse{}, err
+	}
+	for i := range 200 {
+		r.Record(time.Now(), burn.Event{
+			Class:     waxwingpick.ClassQuick,
+			Target:    "stundenplan-llm-000",
+			Workspace: waxwingpick.WorkspaceID(fmt.Sprintf("studio-%04d", i)),
+		})
+	}
+	answer := entries.BurnResponse{
+		Snapshot:       r.Snapshot(time.Now()).Worst(128).WithoutPoints(),
+		ConfigRevision: 7,
+		Classes: []config.ClassPolicy{{
+			Class:     waxwingpick.ClassQuick,
+			Objective: 0.99,
+		}},
+	}
+	return answer, e.fleet.count(answer)
+}
+
+func (entryFake) Lift(context.Context, entries.LiftRequest) (entries.LiftResponse, error) {
+	return entries.LiftResponse{}, nil
+}
+
+// run runs the client against the fake and returns its exit code and output.
+func (f *entriesFake) run(ctx context.Context, args ...string) (int, string) {
+	var out bytes.Buffer
+	env := operator.DefaultEnv()
+	env.Stdout = &out
+	env.Stderr = &out
+	env.Getenv = func(name string) string {
+		switch name {
+		case operator.EnvPlatform:
+			return "platform"
+		case operator.EnvKeyValue:
+			return "127.0.0.1:1"
+		}
+		return ""
+	}
+	env.Platform = func(string) (waxwingpick.Platform, error) {
+		return f, nil
+	}
+	code := operator.Main(ctx, env, args)
+	return code, out.String()
+}
+
+// TestStatusFindsReportsThatFewEntriesHave asks entries of which each has reports of a twelfth of the targets.
+func TestStatusFindsReportsThatFewEntriesHave(t *testing.T) {
+	f := newEntriesFake(t, fleetSize{
+		entries: 40,
+		zones:   3,
+		targets: 60,
+		sample:  5,
+	})
+	// This entry takes connections and never answers.
+	deaf, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer deaf.Close()
+	f.list[0].Control = deaf.Addr().String()
+	code, out := f.run(t.Context(), "status")
+	require.Equal(t, 1, code, "there is no key-value service")
+	require.Contains(t, out, "revision 7 is in force at 98 of 98 processes that answered")
+	require.Regexp(t, `studio-1 +78\n`, out, "39 entries answered")
+}
+
+// BenchmarkAskFleet reads the status and the burn of 400 entries, and reports what all of them send.
+func BenchmarkAskFleet(b *testing.B) {
+	for _, sample := range []int{56, 336} {
+		f := newEntriesFake(b, fleetSize{
+			entries: 400,
+			zones:   9,
+			targets: 600,
+			sample:  sample,
+		})
+		for _, args := range [][]string{{"status"}, {"report", "burn"}} {
+			b.Run(fmt.Sprintf("%s/sample=%d", args[0], sample), func(b *testing.B) {
+				f.bytes.Store(0)
+				for b.Loop() {
+					f.run(b.Context(), args...)
+				}
+				b.ReportMetric(float64(f.bytes.Load())/float64(b.N)/1e6, "MB/op")
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/orderrunner/runner.go
@@ -0,0 +1,179 @@
+package orderrunner
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"waxwingpick"
+	"waxwingpick/core/executor"
+	"waxwingpick/core/plan"
+	"waxwingpick/internal/steploop"
+)
+
+// callTimeout bounds one call of the key-value service or one read of the engine's state.
+const callTimeout = time.Second
+
+// Drainer stops and starts the admission of work for the engine.
+type Drainer interface {
+	// Drain admits no more work from now on, and reports whether none is left; it may be called again.
+	Drain() (empty bool)
+	// Undrain admits work again.
+	Undrain()
+}
+
+// Plans is the process's copy of the accepted plans; it only tells when to read the record itself.
+type Plans interface {
+	Plan(service waxwingpick.ServiceName) (plan.Record, int64)
+	Subscribe(changed func()) (stop func())
+}
+
+// Option sets up a Runner.
+type Option func(*Runner) error
+
+// WithLog sets the log.
+func WithLog(log logrus.FieldLogger) Option {
+	return func(r *Runner) error {
+		r.log = log
+		return nil
+	}
+}
+
+// WithChecksFencing sets how to learn whether the engine refuses old fencing numbers; it is asked before each step.
+func WithChecksFencing(checks func() bool) Option {
+	return func(r *Runner) error {
+		r.checksFencing = checks
+		return nil
+	}
+}
+
+// Runner hosts the executor of one target.
+type Runner struct {
+	service waxwingpick.ServiceName
+	kv      waxwingpick.KeyValue
+	timers  waxwingpick.Timers
+	engine  waxwingpick.Engine
+	drainer Drainer
+	plans   Plans
+	log     logrus.FieldLogger
+
+	checksFencing func() bool
+	machine       *executor.Executor
+	sleeper       *steploop.Sleeper
+	// logged is the status that the log tells.
+	logged executor.Status
+}
+
+// New returns the runner of one target; Run starts it.
+func New(service waxwingpick.ServiceName, target waxwingpick.TargetID, kv waxwingpick.KeyValue, timers waxwingpick.Timers, engine waxwingpick.Engine, drainer Drainer, plans Plans, opts ...Option) (*Runner, error) {
+	r := &Runner{
+		service: service,
+		kv:      kv,
+		timers:  timers,
+		engine:  engine,
+		drainer: drainer,
+		plans:   plans,
+		log:     logrus.StandardLogger(),
+		sleeper: steploop.NewSleeper(timers),
+	}
+	for _, opt := range opts {
+		if err := opt(r); err != nil {
+			return nil, err
+		}
+	}
+	random := executor.WithRandom(rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
+	machine, err := executor.New(service, target, uuid.NewString(), random)
+	if err != nil {
+		return nil, err
+	}
+	r.machine = machine
+	return r, nil
+}
+
+// Run executes the plan's orders until ctx ends.
+func (r *Runner) Run(ctx context.Context) {
+	stop := r.plans.Subscribe(r.sleeper.Notify)
+	defer stop()
+	for ctx.Err() == nil {
+		r.follow()
+		step := r.machine.Next(r.timers.Now())
+		if step.Kind == executor.Wait {
+			r.sleeper.Until(ctx, step.Until)
+			continue
+		}
+		result := r.do(ctx, step)
+		r.machine.Apply(r.timers.Now(), result)
+		r.logChange()
+	}
+}
+
+// follow tells the machine what the process heard of.
+func (r *Runner) follow() {
+	heard, _ := r.plans.Plan(r.service)
+	r.machine.Hint(heard)
+	if r.checksFencing != nil {
+		r.machine.SetChecksFencing(r.checksFencing())
+	}
+}
+
+// do takes one step.
+func (r *Runner) do(ctx context.Context, step executor.Step) executor.Result {
+	timeout := callTimeout
+	if step.Kind == executor.Submit {
+		timeout = step.Timeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var result executor.Result
+	switch step.Kind {
+	case executor.Wait:
+	case executor.KeyValue:
+		result.KeyValue = step.Call.Do(ctx, r.kv)
+	case executor.ReadEngine:
+		result.Engine, result.Err = r.engine.State(ctx)
+	case executor.Submit:
+		result.Err = r.submit(ctx, step)
+	case executor.Drain:
+		result.Drained = r.drainer.Drain()
+	case executor.Undrain:
+		r.drainer.Undrain()
+	}
+	return result
+}
+
+// submit sends an order, unless the process was paused since the executor decided on it.
+func (r *Runner) submit(ctx context.Context, step executor.Step) error {
+	if late := r.timers.Now().Sub(step.SendBy); late > 0 {
+		return fmt.Errorf("order %d is %s too late to be sent: %w", step.Order.Number, late, waxwingpick.ErrEngineUnreachable)
+	}
+	r.log.WithFields(orderFields(step.Order)).Info("order sent to the engine")
+	return r.engine.Submit(ctx, step.Order)
+}
+
+func orderFields(order waxwingpick.EngineOrder) logrus.Fields {
+	return logrus.Fields{
+		"order": order.Number,
+		"role":  order.Config.Role.String(),
+		"model": order.Config.Model,
+	}
+}
+
+// logChange logs what is new in the executor's status.
+func (r *Runner) logChange() {
+	status := r.machine.Status()
+	before := r.logged
+	r.logged = status
+	if status.Failure != nil && (before.Failure == nil || before.Failure.Error() != status.Failure.Error()) {
+		r.log.WithError(status.Failure).Warn("the engine is not as wanted")
+	}
+	if status.Draining && !before.Draining {
+		r.log.WithFields(orderFields(status.Wanted)).Info("the engine drains for an order")
+	}
+	if status.Settled && !before.Settled {
+		r.log.WithFields(orderFields(status.Wanted)).Info("the engine is as wanted")
+	}
+}
--- /dev/null
+++ b/internal/sidecar/process.go
@@ -0,0 +1,337 @@
+package sidecar
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"waxwingpick"
+	"waxwingpick/core/admission"
+	"waxwingpick/core/callbudget"
+	"waxwingpick/core/drain"
+	"waxwingpick/core/ledger"
+	"waxwingpick/core/suspect"
+	"waxwingpick/core/timer"
+	"waxwingpick/internal/instancelist"
+	"waxwingpick/internal/records"
+	"waxwingpick/io/jsonrpc"
+	"waxwingpick/io/prometheus"
+	"waxwingpick/io/sidecar"
+)
+
+const (
+	retryAfterModel = 2 * time.Second
+	retryAfterCrash = time.Second
+	statePeriod     = 500 * time.Millisecond
+	// leastConcurrent and mostConcurrent bound the adaptive number of calls that a plain service runs at once.
+	leastConcurrent = 4
+	mostConcurrent  = 256
+	stopPoll        = 50 * time.Millisecond
+	// ordersRemembered bounds the orders that are remembered, and orderAnswerBytes the answers kept by default.
+	ordersRemembered = 16 << 10
+	orderAnswerBytes = 4 << 20
+	// answersKept is how long a stopping sidecar still tells resends what became of its last orders.
+	answersKept = time.Second
+)
+
+var errEntryGone = eris.New("entry is gone")
+
+// Process is the sidecar of one target.
+type Process struct {
+	options  Options
+	target   waxwingpick.TargetID
+	engine   waxwingpick.Engine
+	plain    waxwingpick.PlainService
+	timers   waxwingpick.Timers
+	log      *logrus.Entry
+	admitter *admitter
+	streams  *streams
+	movers   *movers
+	exports  *transfers
+	imports  *transfers
+	guard    *ledger.Guard
+	gate     *drain.Gate
+	metrics  *prometheus.Metrics
+	kv       waxwingpick.KeyValue
+	budget   *callbudget.Client
+	crashes  *crashes
+	list     *instancelist.Runner
+	records  *records.Runner
+	ordered  atomic.Bool
+	totals   totals
+	data     *sidecar.Server
+	control  *jsonrpc.Server
+	client   *jsonrpc.Client
+	peers    *sidecar.Client
+	work     conc.WaitGroup
+	loops    conc.WaitGroup
+	stops    []func()
+
+	mu        sync.Mutex
+	active    waxwingpick.Option[waxwingpick.EngineConfig]
+	direct    bool
+	idle      time.Time
+	dataAddr  string
+	ctrlAddr  string
+	lifecycle context.Context
+	end       context.CancelFunc
+}
+
+// New returns a sidecar process that does not serve yet.
+func New(o Options) (*Process, error) {
+	if err := o.check(); err != nil {
+		return nil, err
+	}
+	p := &Process{
+		options: o,
+		target:  o.Target,
+		engine:  o.Engine,
+		plain:   o.Plain,
+		timers:  o.Timers,
+		streams: newStreams(),
+		movers:  newMovers(),
+		log: o.Log.WithFields(logrus.Fields{
+			"instance": o.Instance,
+			"target":   o.Target,
+		}),
+	}
+	p.lifecycle, p.end = context.WithCancel(context.Background())
+	if err := p.createParts(); err != nil {
+		return nil, fmt.Errorf("create sidecar: %w", err)
+	}
+	return p, nil
+}
+
+func (p *Process) createParts() error {
+	var opts []admission.Option
+	if p.options.MaxConcurrent > 0 {
+		opts = append(opts, admission.Slots(p.options.MaxConcurrent))
+	}
+	if p.options.Pieces > 0 {
+		opts = append(opts, admission.Memory(p.options.Pieces, p.options.PieceTokens))
+	}
+	if p.plain != nil {
+		limiter, err := admission.NewLimiter(leastConcurrent, max(leastConcurrent, cmp.Or(p.options.MaxConcurrent, mostConcurrent)))
+		if err != nil {
+			return fmt.Errorf("create concurrency limiter: %w", err)
+		}
+		opts = append(opts, admission.Adaptive(limiter))
+	}
+	ctl, err := admission.New(opts...)
+	if err != nil {
+		return fmt.Errorf("create admission: %w", err)
+	}
+	p.admitter = newAdmitter(ctl, p.timers)
+	if p.exports, err = newTransfers(p.timers); err != nil {
+		return err
+	}
+	if p.imports, err = newTransfers(p.timers); err != nil {
+		return err
+	}
+	p.totals.process = uuid.NewString()
+	p.guard, err = ledger.NewGuard(p.totals.process, p.timers.Now(),
+		ledger.WithGuardMemory(ordersRemembered, cmp.Or(p.options.OrderAnswerBytes, orderAnswerBytes)))
+	if err != nil {
+		return fmt.Errorf("create order guard: %w", err)
+	}
+	p.gate, err = drain.New()
+	if err != nil {
+		return fmt.Errorf("create drain gate: %w", err)
+	}
+	p.crashes, err = newCrashes()
+	if err != nil {
+		return err
+	}
+	p.client, err = jsonrpc.NewClient(jsonrpc.Fleet(p.options.Fleet), jsonrpc.WithCredentials(p.options.Credentials))
+	if err != nil {
+		return err
+	}
+	p.metrics, err = prometheus.New()
+	if err != nil {
+		return fmt.Errorf("create metrics: %w", err)
+	}
+	if err := p.metrics.Runtime(); err != nil {
+		return fmt.Errorf("create runtime metrics: %w", err)
+	}
+	p.metrics.OrderAnswers(p.guard.AnswerBytes)
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	p.budget, err = callbudget.New(p.options.KeyValue, p.timers, random)
+	if err != nil {
+		return fmt.Errorf("create key-value budget: %w", err)
+	}
+	p.kv = p.metrics.KeyValue(p.budget)
+	p.metrics.Credentials("processes", p.options.Credentials)
+	p.peers, err = sidecar.NewClient(p.options.Fleet, p.options.MaxBody, sidecar.WithCredentials(p.options.Credentials))
+	if err != nil {
+		return err
+	}
+	p.data = sidecar.NewServer(p, sidecar.Identity{
+		Fleet:  p.options.Fleet,
+		Target: p.options.Target,
+	}, sidecar.Limits{
+		Body:    p.options.MaxBody,
+		Attempt: p.attemptSize(),
+	}, p.timers, p.metrics.Registry(), sidecar.ServeWith(p.options.Credentials))
+	p.control = jsonrpc.NewServer(p.options.Fleet, jsonrpc.ServeWith(p.options.Credentials))
+	p.registerControl()
+	return p.createRunners()
+}
+
+// attemptSize bounds the attempts that entries send here, in bytes.
+func (p *Process) attemptSize() int {
+	if p.engine != nil {
+		return sidecar.MaxModelAttemptSize
+	}
+	return sidecar.MaxAttemptSize
+}
+
+// Start learns the newest records that it can reach and the target's state, then serves until Stop.
+func (p *Process) Start() error {
+	// The first report tells what the engine serves, so its state is read before anybody may ask.
+	p.pollState(p.timers.Now())
+	var err error
+	p.ctrlAddr, err = p.control.Start(p.options.Control)
+	if err != nil {
+		return fmt.Errorf("start control server: %w", err)
+	}
+	p.startRunners()
+	p.stops = append(p.stops,
+		p.timers.Every(statePeriod, p.pollState),
+		p.timers.Every(movePeriod, p.moveStreams))
+	p.dataAddr, err = p.data.Start(p.options.Data)
+	if err != nil {
+		return fmt.Errorf("start data server: %w", err)
+	}
+	p.log.WithFields(logrus.Fields{
+		"control": p.ctrlAddr,
+		"data":    p.dataAddr,
+	}).Info("sidecar serves")
+	return nil
+}
+
+// ControlAddr returns the bound address of control calls.
+func (p *Process) ControlAddr() string {
+	return p.ctrlAddr
+}
+
+// DataAddr returns the bound address of request bodies and streams.
+func (p *Process) DataAddr() string {
+	return p.dataAddr
+}
+
+// Incarnation returns the name under which orders are to be claimed now.
+func (p *Process) Incarnation() string {
+	return p.guard.Incarnation(p.timers.Now())
+}
+
+// ConfigRevision returns the configuration revision that the sidecar acts under.
+func (p *Process) ConfigRevision() int64 {
+	return p.configRevision()
+}
+
+// Running returns the number of requests that run or wait at the target.
+func (p *Process) Running() int {
+	return p.gate.Running()
+}
+
+// Stop refuses new work, lets what runs end until ctx ends, and stops serving.
+func (p *Process) Stop(ctx context.Context) error {
+	p.gate.Stop(p.timers.Now())
+	p.updateAdmission()
+	p.log.WithField("running", p.gate.Running()).Info("sidecar stops: new work is refused")
+	for p.gate.Phase(p.timers.Now()) == drain.PhaseStopping {
+		if !p.pause(ctx, stopPoll) {
+			break
+		}
+	}
+	running := p.gate.Running()
+	if p.plain != nil {
+		// Entries keep the answers of orders in their claims behind the callers' answers; until then a resend asks here.
+		p.pause(ctx, answersKept)
+	}
+	for _, stop := range p.stops {
+		stop()
+	}
+	p.end()
+	p.loops.Wait()
+	err := p.data.Shutdown(ctx)
+	p.control.Close()
+	p.client.Close()
+	p.peers.Close()
+	p.log.WithField("cut", running).Info("sidecar stopped")
+	if running > 0 {
+		return eris.Errorf("sidecar stopped with %d requests running", running)
+	}
+	return err
+}
+
+// pause waits and reports whether ctx still lives.
+func (p *Process) pause(ctx context.Context, d time.Duration) bool {
+	return timer.Sleep(ctx, p.timers, d)
+}
+
+// enterGate lets a request in unless the target leaves or the request is a crash suspect that may not run.
+func (p *Process) enterGate(a sidecar.Attempt, movable bool) *waxwingpick.Refusal {
+	now := p.timers.Now()
+	if err := p.gate.Enter(now, a.ID, movable); err != nil {
+		return asRefusal(err)
+	}
+	if a.Suspicion != nil {
+		p.crashes.merge(now, []suspect.Record{*a.Suspicion})
+	}
+	if refusal := p.crashes.enter(now, a.ID, a.Fingerprint); refusal != nil {
+		p.gate.Leave(a.ID)
+		return refusal
+	}
+	return nil
+}
+
+func (p *Process) leaveGate(id string) {
+	p.gate.Leave(id)
+	p.crashes.leave(id)
+}
+
+// transfersDirectly reports whether the engine and others fetch KV cache from each other.
+func (p *Process) transfersDirectly() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.direct
+}
+
+func (p *Process) activeConfig() (waxwingpick.EngineConfig, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.active.Get()
+}
+
+// pollState reads what the engine serves and notices its restarts.
+func (p *Process) pollState(time.Time) {
+	if p.engine == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(p.lifecycle, stateTimeout)
+	defer cancel()
+	state, err := p.engine.State(ctx)
+	if err != nil {
+		p.log.WithField("error", err.Error()).Debug("engine state not read")
+		return
+	}
+	p.mu.Lock()
+	p.active = waxwingpick.Some(state.Active)
+	p.direct = state.KVAddress != ""
+	p.mu.Unlock()
+	p.metrics.Role(state.Active.Role)
+	former := p.crashes.boot(state.BootID)
+	if former != "" && former != state.BootID {
+		p.recordCrash(former, "", waxwingpick.ErrEngineLost)
+	}
+}
--- /dev/null
+++ b/internal/standin/ca/authority.go
@@ -0,0 +1,179 @@
+package ca
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"io"
+	"math/big"
+	"net"
+	"net/url"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"waxwingpick"
+	"waxwingpick/io/mtls"
+)
+
+const (
+	fileMode = 0o600
+	// lifetime is that of the authority itself, and of certificates whose holder names none.
+	lifetime = 365 * 24 * time.Hour
+	// serialBits is the size of a serial number.
+	serialBits = 64
+)
+
+// Holder is whom a certificate is issued to.
+type Holder struct {
+	// URIs holds the names by which processes know each other.
+	URIs []*url.URL
+	// IPs holds the addresses by which callers know an entry.
+	IPs []net.IP
+	// NotAfter is the certificate's end; zero takes a year.
+	NotAfter time.Time
+}
+
+// HolderOf returns the holder with the identity and the loopback address.
+func HolderOf(identity mtls.Identity) Holder {
+	return Holder{
+		URIs: []*url.URL{identity.URI()},
+		IPs:  []net.IP{net.IPv4(127, 0, 0, 1)},
+	}
+}
+
+// Authority issues certificates.
+type Authority struct {
+	cert *x509.Certificate
+	key  *ecdsa.PrivateKey
+}
+
+// New returns an authority whose certificates begin an hour before now.
+func New(now time.Time) (*Authority, error) {
+	template := &x509.Certificate{
+		Subject:               pkix.Name{CommonName: "authority"},
+		NotBefore:             now.Add(-time.Hour),
+		NotAfter:              now.Add(lifetime),
+		IsCA:                  true,
+		BasicConstraintsValid: true,
+		KeyUsage:              x509.KeyUsageCertSign,
+	}
+	a := &Authority{}
+	der, key, err := a.sign(template)
+	if err != nil {
+		return nil, err
+	}
+	a.key = key
+	if a.cert, err = x509.ParseCertificate(der); err != nil {
+		return nil, fmt.Errorf("parse authority: %w", err)
+	}
+	return a, nil
+}
+
+// PEM returns the authority's own certificate.
+func (a *Authority) PEM() []byte {
+	return encode("CERTIFICATE", a.cert.Raw)
+}
+
+// Issue returns a certificate and its key, in PEM.
+func (a *Authority) Issue(h Holder) (certificate, key []byte, err error) {
+	template := &x509.Certificate{
+		Subject:     pkix.Name{CommonName: "process"},
+		NotBefore:   a.cert.NotBefore,
+		NotAfter:    h.NotAfter,
+		URIs:        h.URIs,
+		IPAddresses: h.IPs,
+		KeyUsage:    x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageClientAuth, x509.ExtKeyUsageServerAuth},
+	}
+	if h.NotAfter.IsZero() {
+		template.NotAfter = a.cert.NotAfter
+	}
+	der, private, err := a.sign(template)
+	if err != nil {
+		return nil, nil, err
+	}
+	encoded, err := x509.MarshalPKCS8PrivateKey(private)
+	if err != nil {
+		return nil, nil, fmt.Errorf("encode key: %w", err)
+	}
+	return encode("CERTIFICATE", der), encode("PRIVATE KEY", encoded), nil
+}
+
+// Pair returns a certificate with its key for crypto/tls.
+func (a *Authority) Pair(h Holder) (tls.Certificate, error) {
+	certificate, key, err := a.Issue(h)
+	if err != nil {
+		return tls.Certificate{}, err
+	}
+	return tls.X509KeyPair(certificate, key)
+}
+
+// Credentials returns the credentials of a process, whose files are written into the directory; refusals are not logged.
+func (a *Authority) Credentials(dir string, self mtls.Identity, timers waxwingpick.Timers, opts ...mtls.Option) (*mtls.Credentials, error) {
+	files, err := a.Write(dir, string(self.Role()), HolderOf(self))
+	if err != nil {
+		return nil, err
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	return mtls.New(files, self, timers, append(opts, mtls.WithLog(logrus.NewEntry(log)))...)
+}
+
+// Write issues a certificate into files of the directory, where it replaces one of the same name.
+func (a *Authority) Write(dir, name string, h Holder) (mtls.Files, error) {
+	files := mtls.Files{
+		Certificate: filepath.Join(dir, name+".crt"),
+		Key:         filepath.Join(dir, name+".key"),
+		Authorities: filepath.Join(dir, name+".authorities.crt"),
+	}
+	certificate, key, err := a.Issue(h)
+	if err != nil {
+		return files, err
+	}
+	for path, data := range map[string][]byte{
+		files.Certificate: certificate,
+		files.Key:         key,
+		files.Authorities: a.PEM(),
+	} {
+		if err := os.WriteFile(path, data, fileMode); err != nil {
+			return files, fmt.Errorf("write credentials: %w", err)
+		}
+	}
+	return files, nil
+}
+
+// sign signs the template by the authority, or by itself where there is none yet.
+func (a *Authority) sign(template *x509.Certificate) ([]byte, *ecdsa.PrivateKey, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, nil, fmt.Errorf("generate key: %w", err)
+	}
+	template.SerialNumber, err = rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialBits))
+	if err != nil {
+		return nil, nil, fmt.Errorf("draw serial number: %w", err)
+	}
+	parent, signer := a.cert, a.key
+	if parent == nil {
+		parent, signer = template, key
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, parent, &key.PublicKey, signer)
+	if err != nil {
+		return nil, nil, fmt.Errorf("sign certificate: %w", err)
+	}
+	return der, key, nil
+}
+
+func encode(kind string, der []byte) []byte {
+	return pem.EncodeToMemory(&pem.Block{
+		Type:  kind,
+		Bytes: der,
+	})
+}
--- /dev/null
+++ b/internal/standin/engine/order.go
@@ -0,0 +1,94 @@
+package engine
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"waxwingpick"
+)
+
+var errStale = eris.New("a newer order is held")
+
+// Submit accepts or refuses an order as the engine of this deployment does.
+func (e *Engine) Submit(order waxwingpick.EngineOrder) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.now()
+	stale := order.Number < e.order.Number ||
+		order.Number == e.order.Number && order.Config != e.order.Config
+	if stale && !e.faults.IgnoreFencing {
+		e.recordOrder(order, now, false)
+		return fmt.Errorf("order %d after %d: %w", order.Number, e.order.Number, errStale)
+	}
+	e.recordOrder(order, now, true)
+	if stale {
+		e.record.Violations.StaleOrders++
+	}
+	same := order == e.order
+	if same && e.phase == waxwingpick.OrderRunning {
+		return nil
+	}
+	if e.phase == waxwingpick.OrderRunning && order.Config != e.order.Config {
+		e.record.Violations.ConflictingOrders++
+	}
+	e.order = order
+	if order.Config == e.active && e.phase != waxwingpick.OrderRunning {
+		e.phase = waxwingpick.OrderDone
+		return nil
+	}
+	e.change(now)
+	return nil
+}
+
+// change starts the change to the held order; what runs is cut.
+func (e *Engine) change(now time.Time) {
+	e.phase = waxwingpick.OrderRunning
+	e.record.Violations.CutRequests += len(e.running)
+	for len(e.running) > 0 {
+		e.finish(e.running[0], phaseCut, now)
+	}
+	for len(e.waiting) > 0 {
+		e.finish(e.waiting[0], phaseCut, now)
+	}
+	for id := range e.handles {
+		e.free(id)
+	}
+	e.cache.reset(e.cfg.pieces)
+	e.changes++
+	change := e.changes
+	if e.stop != nil {
+		e.stop()
+	}
+	d := e.cfg.changeTime
+	if e.faults.CrashInOrder > 0 {
+		d /= 2
+	}
+	e.stop = e.timers.After(d, func(time.Time) {
+		e.changed(change)
+	})
+}
+
+func (e *Engine) changed(change int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if change != e.changes || e.phase != waxwingpick.OrderRunning {
+		return
+	}
+	e.stop()
+	e.stop = nil
+	if e.faults.CrashInOrder > 0 {
+		e.faults.CrashInOrder--
+		e.crash()
+		return
+	}
+	if e.faults.FailOrders > 0 {
+		e.faults.FailOrders--
+		e.phase = waxwingpick.OrderFailed
+		return
+	}
+	e.active = e.order.Config
+	e.phase = waxwingpick.OrderDone
+	e.admit(e.now())
+}
--- /dev/null
+++ b/internal/standin/service/service.go
@@ -0,0 +1,151 @@
+package service
+
+import (
+	"fmt"
+	"maps"
+	"strings"
+	"sync"
+
+	"github.com/gofiber/fiber/v3"
+
+	"waxwingpick/internal/standin/server"
+)
+
+// DefaultCrashMarker is the text in a body that crashes the service.
+const DefaultCrashMarker = "[[crash]]"
+
+const (
+	bookingsPath  = "/bookings"
+	keyHeader     = "Idempotency-Key"
+	bookingHeader = "X-Booking"
+	textNotFound  = "no such booking"
+)
+
+// Run is one request that took effect.
+type Run struct {
+	Method string `json:"method"`
+	Path   string `json:"path"`
+	// Key is the Idempotency-Key header; the service itself ignores it.
+	Key  string `json:"key"`
+	Body string `json:"body"`
+}
+
+// Booking is one stored booking.
+type Booking struct {
+	ID   string `json:"id"`
+	Body string `json:"body"`
+}
+
+// Service is one running stand-in.
+type Service struct {
+	server *server.Server
+
+	mu       sync.Mutex
+	bookings map[string]Booking
+	runs     []Run
+	created  int
+	crashes  int
+}
+
+// New starts a service.
+func New(opts ...server.Option) (*Service, error) {
+	s := &Service{
+		bookings: make(map[string]Booking),
+	}
+	srv, err := server.New(s.routes, opts...)
+	if err != nil {
+		return nil, fmt.Errorf("service: %w", err)
+	}
+	s.server = srv
+	s.server.Start()
+	return s, nil
+}
+
+// Addr returns the service's IP address and port.
+func (s *Service) Addr() string {
+	return s.server.Addr()
+}
+
+// Close stops the service and breaks its connections.
+func (s *Service) Close() {
+	s.server.Close()
+}
+
+// Faults returns the switches of the service's HTTP server.
+func (s *Service) Faults() *server.Server {
+	return s.server
+}
+
+// Runs returns every request that took effect, in order.
+func (s *Service) Runs() []Run {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Run(nil), s.runs...)
+}
+
+// RunsByKey counts the writing requests that took effect, by Idempotency-Key or else by body.
+func (s *Service) RunsByKey() map[string]int {
+	counts := make(map[string]int)
+	for _, r := range s.Runs() {
+		if r.Method == fiber.MethodGet {
+			continue
+		}
+		key := r.Key
+		if key == "" {
+			key = r.Body
+		}
+		counts[key]++
+	}
+	return counts
+}
+
+// Bookings returns a copy of the stored bookings by ID.
+func (s *Service) Bookings() map[string]Booking {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.bookings)
+}
+
+// Crashes returns how often the service crashed.
+func (s *Service) Crashes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.crashes
+}
+
+func (s *Service) routes(app *fiber.App) {
+	app.Post(bookingsPath, s.serve)
+	app.Get(bookingsPath+"/:id", s.serve)
+	app.Put(bookingsPath+"/:id", s.serve)
+	app.Get("/admin/runs", func(c fiber.Ctx) error {
+		return c.JSON(s.Runs())
+	})
+	server.FaultRoutes(app, s.Faults, s.crash)
+}
+
+// serve answers a request over HTTP.
+func (s *Service) serve(c fiber.Ctx) error {
+	a, ok := s.handle(Run{
+		Method: strings.Clone(c.Method()),
+		Path:   strings.Clone(c.Path()),
+		Key:    strings.Clone(c.Get(keyHeader)),
+		Body:   string(c.Body()),
+	})
+	if !ok {
+		return nil
+	}
+	if a.booking.ID == "" {
+		return c.Status(a.status).SendString(textNotFound)
+	}
+	if a.stored {
+		c.Set(bookingHeader, a.booking.ID)
+	}
+	return c.Status(a.status).JSON(a.booking)
+}
+
+func (s *Service) crash() {
+	s.mu.Lock()
+	s.crashes++
+	s.mu.Unlock()
+	s.server.Crash()
+}
--- /dev/null
+++ b/internal/virtual/sidecar.go
@@ -0,0 +1,234 @@
+package virtual
+
+import (
+	"fmt"
+	"time"
+
+	"waxwingpick"
+	"waxwingpick/core/admission"
+	"waxwingpick/core/timer"
+)
+
+// Gate admits attempts to one engine; *admission.Controller is one.
+type Gate interface {
+	Offer(now time.Time, req admission.Request) admission.Decision
+	Next(now time.Time) (admission.Decision, bool)
+	Wake() (time.Time, bool)
+	FirstToken(now time.Time, id admission.AttemptID)
+	Done(now time.Time, id admission.AttemptID, outputTokens int)
+	Cancel(id admission.AttemptID) bool
+	Load(now time.Time) waxwingpick.TargetLoad
+	Drain()
+	Resume()
+}
+
+// Attempt is one try of a request at one engine.
+type Attempt struct {
+	ID      admission.AttemptID
+	Request *Request
+	Leg     Leg
+	// Cached is the part of the prompt that the entry expects to be cached.
+	Cached int
+	// OnFirst, OnToken, OnRefused and OnEnded are called at the sidecar's time.
+	OnFirst   func(now time.Time)
+	OnToken   func(gap time.Duration)
+	OnRefused func(now time.Time, refusal *waxwingpick.Refusal)
+	OnEnded   func(now time.Time, e Ending)
+
+	sidecar *Sidecar
+	work    *Work
+	tokens  int
+}
+
+// Computed returns the tokens that the engine computed for the attempt.
+func (a *Attempt) Computed() int {
+	if a.work == nil {
+		return 0
+	}
+	return a.work.Computed
+}
+
+// Sidecar is the only way to its engine.
+type Sidecar struct {
+	timers   *timer.Manual
+	engine   *Engine
+	gate     Gate
+	attempts map[admission.AttemptID]*Attempt
+	wake     func()
+	serial   int
+	ranked   bool
+}
+
+// NewSidecar returns a sidecar that puts the gate before the engine.
+func NewSidecar(timers *timer.Manual, engine *Engine, gate Gate) *Sidecar {
+	return &Sidecar{
+		timers:   timers,
+		engine:   engine,
+		gate:     gate,
+		attempts: make(map[admission.AttemptID]*Attempt),
+		ranked:   true,
+	}
+}
+
+// SetPriorities says whether the engine is told each attempt's urgency; without it all are equal.
+func (s *Sidecar) SetPriorities(on bool) {
+	s.ranked = on
+}
+
+// Engine returns the engine behind the sidecar.
+func (s *Sidecar) Engine() *Engine {
+	return s.engine
+}
+
+// Load returns the report for entries.
+func (s *Sidecar) Load() waxwingpick.TargetLoad {
+	return s.gate.Load(s.timers.Now())
+}
+
+// Offer hands an attempt to the gate.
+func (s *Sidecar) Offer(a *Attempt) {
+	now := s.timers.Now()
+	s.serial++
+	a.ID = admission.AttemptID(fmt.Sprintf("%s-%d", s.engine.spec.ID, s.serial))
+	a.sidecar = s
+	s.attempts[a.ID] = a
+	output := a.Request.EstimatedOutput
+	if a.Leg == LegPrefill {
+		output = 1
+	}
+	cached := a.Cached
+	if a.Leg == LegDecode {
+		cached = a.Request.PromptTokens
+	}
+	s.apply(now, s.gate.Offer(now, admission.Request{
+		ID:           a.ID,
+		Workspace:    a.Request.Workspace,
+		Class:        a.Request.Class,
+		PromptTokens: a.Request.PromptTokens,
+		CachedTokens: cached,
+		OutputTokens: output,
+		Deadline:     a.Request.Deadline,
+	}))
+	s.pump(now)
+}
+
+// Cancel ends an attempt whose caller left and reports whether it had not started; a running one ends with EndingCancelled.
+func (s *Sidecar) Cancel(a *Attempt) bool {
+	if s.gate.Cancel(a.ID) {
+		delete(s.attempts, a.ID)
+		return true
+	}
+	if a.work != nil {
+		s.engine.Cancel(a.work)
+	}
+	return false
+}
+
+// ChangeRole drains the engine, changes its role and takes new work again; done may be nil.
+func (s *Sidecar) ChangeRole(role waxwingpick.Role, done func(now time.Time)) {
+	s.Drain()
+	s.engine.OnIdle(func(time.Time) {
+		s.engine.ChangeRole(role, func(now time.Time) {
+			s.gate.Resume()
+			if done != nil {
+				done(now)
+			}
+		})
+	})
+}
+
+func (s *Sidecar) apply(now time.Time, d admission.Decision) {
+	a := s.attempts[d.ID]
+	switch d.Verdict {
+	case admission.VerdictRun:
+		s.start(now, a)
+	case admission.VerdictQueued:
+	case admission.VerdictRefused:
+		delete(s.attempts, d.ID)
+		a.OnRefused(now, d.Refusal())
+	}
+}
+
+func (s *Sidecar) start(now time.Time, a *Attempt) {
+	r := a.Request
+	a.work = &Work{
+		PromptTokens: r.PromptTokens,
+		OutputTokens: r.OutputTokens,
+		Prefix:       r.Prefix,
+		Urgency:      s.urgency(r.Class),
+		PromptOnly:   a.Leg == LegPrefill,
+		Imported:     a.Leg == LegDecode,
+		Poison:       r.Poison,
+		Listener:     a,
+	}
+	if s.engine.Submit(a.work) {
+		return
+	}
+	delete(s.attempts, a.ID)
+	s.gate.Done(now, a.ID, 0)
+	a.OnRefused(now, waxwingpick.NotRun(waxwingpick.ReasonTargetUnreachable, time.Second, ""))
+}
+
+// pump yields what the gate decides and arranges the next call.
+func (s *Sidecar) pump(now time.Time) {
+	for {
+		d, ok := s.gate.Next(now)
+		if !ok {
+			break
+		}
+		s.apply(now, d)
+	}
+	if s.wake != nil {
+		s.wake()
+		s.wake = nil
+	}
+	at, ok := s.gate.Wake()
+	if !ok {
+		return
+	}
+	s.wake = s.timers.After(max(0, at.Sub(now)), s.pump)
+}
+
+// FirstToken passes the event on to the gate and the entry.
+func (a *Attempt) FirstToken(now time.Time) {
+	a.tokens = 1
+	a.sidecar.gate.FirstToken(now, a.ID)
+	a.OnFirst(now)
+}
+
+// Token counts a token.
+func (a *Attempt) Token(_ time.Time, gap time.Duration) {
+	a.tokens++
+	a.OnToken(gap)
+}
+
+// Ended frees the attempt's room and tells the entry.
+func (a *Attempt) Ended(now time.Time, e Ending) {
+	s := a.sidecar
+	delete(s.attempts, a.ID)
+	if e == EndingWhole && a.work.PromptOnly {
+		// The prompt is computed although no token follows; the gate would take its rate for zero.
+		a.tokens = 1
+		s.gate.FirstToken(now, a.ID)
+	}
+	tokens := a.tokens
+	if e != EndingWhole {
+		tokens = 0
+	}
+	s.gate.Done(now, a.ID, tokens)
+	a.OnEnded(now, e)
+	s.timers.After(0, s.pump)
+}
+
+func (s *Sidecar) urgency(class waxwingpick.Class) int {
+	if s.ranked && class == waxwingpick.ClassLong {
+		return 5
+	}
+	return 1
+}
+
+// Drain refuses new work for good; what is queued or runs ends as usual.
+func (s *Sidecar) Drain() {
+	s.gate.Drain()
+	s.pump(s.timers.Now())
+}
--- /dev/null
+++ b/io/etcd/fault_test.go
@@ -0,0 +1,265 @@
+package etcd_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"waxwingpick"
+	"waxwingpick/core/timer"
+	"waxwingpick/internal/etcdwire"
+	"waxwingpick/internal/standin/etcd"
+	adapter "waxwingpick/io/etcd"
+)
+
+// callAll makes one call of each kind but watch and returns their errors by kind.
+func callAll(ctx context.Context, kv waxwingpick.KeyValue) map[waxwingpick.KeyValueCall]error {
+	errs := make(map[waxwingpick.KeyValueCall]error)
+	_, errs[waxwingpick.CallGet] = kv.Get(ctx, "k")
+	_, errs[waxwingpick.CallList] = kv.List(ctx, "k", 1)
+	_, errs[waxwingpick.CallSwap] = kv.CompareAndSwap(ctx, "k", 0, []byte("v"), 0)
+	errs[waxwingpick.CallDelete] = kv.CompareAndDelete(ctx, "k", 0)
+	_, errs[waxwingpick.CallGrant] = kv.Grant(ctx, time.Second)
+	_, errs[waxwingpick.CallKeepAlive] = kv.KeepAlive(ctx, 1)
+	errs[waxwingpick.CallRevoke] = kv.Revoke(ctx, 1)
+	return errs
+}
+
+// outcome names the port's error of a failed call.
+func outcome(err error) string {
+	for _, known := range []error{
+		waxwingpick.ErrUnavailable,
+		waxwingpick.ErrUnknownOutcome,
+		waxwingpick.ErrConflict,
+		waxwingpick.ErrLeaseExpired,
+		waxwingpick.ErrValueTooLarge,
+	} {
+		if errors.Is(err, known) {
+			return known.Error()
+		}
+	}
+	if err != nil {
+		return "other"
+	}
+	return "ok"
+}
+
+// TestFaultsMapToOutcomes records for each fault what each kind of call reports.
+func TestFaultsMapToOutcomes(t *testing.T) {
+	faults := []struct {
+		name    string
+		arrange func(t *testing.T) waxwingpick.KeyValue
+	}{
+		{
+			name: "nothing listens",
+			arrange: func(t *testing.T) waxwingpick.KeyValue {
+				server, client, _ := start(t, timer.NewManual(time.Unix(0, 0)))
+				server.Close()
+				return client
+			},
+		},
+		{
+			name: "down",
+			arrange: func(t *testing.T) waxwingpick.KeyValue {
+				return faulty(t, etcd.Faults{
+					Down: true,
+				})
+			},
+		},
+		{
+			name: "cut",
+			arrange: func(t *testing.T) waxwingpick.KeyValue {
+				return faulty(t, etcd.Faults{
+					Cut: true,
+				})
+			},
+		},
+		{
+			name: "answers lost",
+			arrange: func(t *testing.T) waxwingpick.KeyValue {
+				return faulty(t, etcd.Faults{
+					LoseAnswers: 2,
+				})
+			},
+		},
+		{
+			name:    "timeout inside the service",
+			arrange: answering(fasthttp.StatusServiceUnavailable, `{"error":"etcdserver: request timed out","code":14,"message":"etcdserver: request timed out"}`),
+		},
+		{
+			name:    "no leader",
+			arrange: answering(fasthttp.StatusServiceUnavailable, `{"error":"etcdserver: no leader","code":14,"message":"etcdserver: no leader"}`),
+		},
+		{
+			name:    "too many requests",
+			arrange: answering(fasthttp.StatusTooManyRequests, `{"error":"etcdserver: too many requests","code":8,"message":"etcdserver: too many requests"}`),
+		},
+		{
+			name:    "lease not found",
+			arrange: answering(fasthttp.StatusNotFound, `{"error":"etcdserver: requested lease not found","code":5,"message":"etcdserver: requested lease not found"}`),
+		},
+		{
+			name:    "too large",
+			arrange: answering(fasthttp.StatusBadRequest, `{"error":"etcdserver: request is too large","code":3,"message":"etcdserver: request is too large"}`),
+		},
+		{
+			name:    "gateway error page",
+			arrange: answering(fasthttp.StatusBadGateway, "<html>bad gateway</html>"),
+		},
+		{
+			name:    "answer cut short",
+			arrange: answering(fasthttp.StatusOK, `{"succeeded":tr`),
+		},
+	}
+	report := ""
+	for _, tc := range faults {
+		kv := tc.arrange(t)
+		errs := callAll(t.Context(), kv)
+		report += tc.name + "\n"
+		for _, kind := range waxwingpick.KeyValueCalls() {
+			if err, called := errs[kind]; called {
+				report += fmt.Sprintf("  %-10s %s\n", kind, outcome(err))
+			}
+		}
+	}
+	goldie.New(t).Assert(t, "outcomes", []byte(report))
+}
+
+func faulty(t *testing.T, f etcd.Faults) waxwingpick.KeyValue {
+	server, client, _ := start(t, timer.NewManual(time.Unix(0, 0)))
+	server.Set(f)
+	return client
+}
+
+func answering(status int, body string) func(t *testing.T) waxwingpick.KeyValue {
+	return func(t *testing.T) waxwingpick.KeyValue {
+		return serving(t, func(ctx *fasthttp.RequestCtx) {
+			ctx.SetStatusCode(status)
+			ctx.SetBodyString(body)
+		})
+	}
+}
+
+func serving(t *testing.T, handler fasthttp.RequestHandler) *adapter.Client {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &fasthttp.Server{
+		Handler: handler,
+	}
+	done := make(chan error, 1)
+	go func() {
+		done <- server.Serve(ln)
+	}()
+	client, err := adapter.New(ln.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() {
+		client.Close()
+		require.NoError(t, server.Shutdown())
+		require.NoError(t, <-done)
+	})
+	return client
+}
+
+// TestNoCallIsRepeated counts what reaches a service that reads each request and closes; with the
+// HTTP client's defaults a PUT reaches it more than once.
+func TestNoCallIsRepeated(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	var requests atomic.Int64
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			var req fasthttp.Request
+			if req.Read(bufio.NewReader(conn)) == nil {
+				requests.Add(1)
+			}
+			_ = conn.Close()
+		}
+	}()
+	client, err := adapter.New(ln.Addr().String())
+	require.NoError(t, err)
+	errs := callAll(t.Context(), client)
+	require.Equal(t, int64(len(errs)), requests.Load())
+
+	naive := &fasthttp.HostClient{
+		Addr: ln.Addr().String(),
+	}
+	req := fasthttp.AcquireRequest()
+	req.Header.SetMethod(fasthttp.MethodPut)
+	req.SetRequestURI("http://" + ln.Addr().String() + etcdwire.PathTxn)
+	require.Error(t, naive.Do(req, nil))
+	require.Greater(t, requests.Load(), int64(len(errs)+1))
+	client.Close()
+	require.NoError(t, ln.Close())
+	<-done
+}
+
+func TestSlowServiceTimesOut(t *testing.T) {
+	release := make(chan struct{})
+	arrived := make(chan struct{}, 2)
+	client := serving(t, func(*fasthttp.RequestCtx) {
+		arrived <- struct{}{}
+		<-release
+	})
+	// A call that is given up before the service has it could not have taken effect.
+	givenUp := func(call func(ctx context.Context) error) error {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go func() {
+			<-arrived
+			cancel()
+		}()
+		return call(ctx)
+	}
+	require.ErrorIs(t, givenUp(func(ctx context.Context) error {
+		_, err := client.CompareAndSwap(ctx, "k", 0, nil, 0)
+		return err
+	}), waxwingpick.ErrUnknownOutcome)
+	require.ErrorIs(t, givenUp(func(ctx context.Context) error {
+		_, err := client.Get(ctx, "k")
+		return err
+	}), waxwingpick.ErrUnavailable)
+	close(release)
+}
+
+func TestOversizedAnswerIsRefused(t *testing.T) {
+	client := serving(t, func(ctx *fasthttp.RequestCtx) {
+		ctx.SetBody(make([]byte, 32<<20))
+	})
+	_, err := client.List(t.Context(), "k", 1)
+	require.ErrorIs(t, err, fasthttp.ErrBodyTooLarge)
+	_, err = client.CompareAndSwap(t.Context(), "k", 0, make([]byte, waxwingpick.MaxValueSize+1), 0)
+	require.ErrorIs(t, err, waxwingpick.ErrValueTooLarge)
+}
+
+// TestExchanges records each request and answer, to be held against the published interface.
+func TestExchanges(t *testing.T) {
+	_, _, addr := start(t, timer.NewManual(time.Unix(0, 0)))
+	record := ""
+	proxy := serving(t, func(ctx *fasthttp.RequestCtx) {
+		req, res := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		ctx.Request.CopyTo(req)
+		req.SetHost(addr)
+		require.NoError(t, fasthttp.Do(req, res))
+		record += fmt.Sprintf("POST %s\n%s\n%d\n%s\n", ctx.Path(), req.Body(), res.StatusCode(), res.Body())
+		res.CopyTo(&ctx.Response)
+	})
+	_ = callAll(t.Context(), proxy)
+	_, _ = proxy.CompareAndSwap(t.Context(), "k", 0, nil, 0)
+	_ = callAll(t.Context(), proxy)
+	goldie.New(t).Assert(t, "exchanges", []byte(record))
+}
--- /dev/null
+++ b/io/etcd/watch_test.go
@@ -0,0 +1,82 @@
+package etcd_test
+
+import (
+	"context"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"waxwingpick"
+)
+
+// watching runs a watch and returns its keys and its end.
+func watching(ctx context.Context, s system, prefix string) (keys chan string, ended chan error) {
+	keys = make(chan string, 16)
+	ended = make(chan error, 1)
+	go func() {
+		ended <- s.kv.Watch(ctx, prefix, func(key string) {
+			select {
+			case keys <- key:
+			default:
+			}
+		})
+	}()
+	return keys, ended
+}
+
+// put writes until the watch has seen a key, as the watch opens at a time of its own.
+func put(t *testing.T, s system, key string, keys chan string) {
+	for {
+		e, err := s.kv.Get(t.Context(), key)
+		require.NoError(t, err)
+		_, err = s.kv.CompareAndSwap(t.Context(), key, e.Revision, nil, 0)
+		require.NoError(t, err)
+		select {
+		case got := <-keys:
+			require.NotEqual(t, "p/dropped", got)
+			require.NotEqual(t, "q", got)
+			if got == key {
+				return
+			}
+		default:
+		}
+	}
+}
+
+func TestWatch(t *testing.T) {
+	for _, tc := range systems {
+		t.Run(tc.name, func(t *testing.T) {
+			s := tc.make(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			keys, ended := watching(ctx, s, "p/")
+			_, err := s.kv.CompareAndSwap(t.Context(), "q", 0, nil, 0)
+			require.NoError(t, err)
+			put(t, s, "p/1", keys)
+			cancel()
+			require.ErrorIs(t, <-ended, context.Canceled)
+
+			keys, ended = watching(t.Context(), s, "p/")
+			put(t, s, "p/2", keys)
+			s.store.SetDown(true)
+			require.ErrorIs(t, <-ended, waxwingpick.ErrUnavailable)
+			_, ended = watching(t.Context(), s, "p/")
+			require.ErrorIs(t, <-ended, waxwingpick.ErrUnavailable)
+		})
+	}
+}
+
+func TestDroppedEventsStayUnseen(t *testing.T) {
+	for _, tc := range systems {
+		t.Run(tc.name, func(t *testing.T) {
+			s := tc.make(t)
+			keys, _ := watching(t.Context(), s, "p/")
+			put(t, s, "p/1", keys)
+			s.store.SetDropEvents(true)
+			_, err := s.kv.CompareAndSwap(t.Context(), "p/dropped", 0, nil, 0)
+			require.NoError(t, err)
+			s.store.SetDropEvents(false)
+			put(t, s, "p/3", keys)
+			s.store.BreakWatches()
+		})
+	}
+}
--- /dev/null
+++ b/io/internal/http1/client_test.go
@@ -0,0 +1,304 @@
+package http1_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
+
+	"waxwingpick"
+	"waxwingpick/io/internal/http1"
+)
+
+const (
+	limit  = 10 * time.Second
+	answer = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n"
+)
+
+// peer is a raw TCP server; serve handles one request of the connection and reports whether to go on.
+type peer struct {
+	addr     string
+	conns    atomic.Int64
+	requests atomic.Int64
+}
+
+func listen(t *testing.T, serve func(w io.Writer, n int64, r *http.Request) bool) *peer {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	p := &peer{
+		addr: ln.Addr().String(),
+	}
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var open []net.Conn
+	wg.Go(func() {
+		for {
+			c, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			p.conns.Add(1)
+			mu.Lock()
+			open = append(open, c)
+			mu.Unlock()
+			wg.Go(func() {
+				defer c.Close()
+				br := bufio.NewReader(c)
+				for {
+					r, err := http.ReadRequest(br)
+					if err != nil {
+						return
+					}
+					if _, err := io.Copy(io.Discard, r.Body); err != nil {
+						return
+					}
+					if !serve(c, p.requests.Add(1), r) {
+						return
+					}
+				}
+			})
+		}
+	})
+	t.Cleanup(func() {
+		ln.Close()
+		mu.Lock()
+		for _, c := range open {
+			c.Close()
+		}
+		mu.Unlock()
+		wg.Wait()
+	})
+	return p
+}
+
+func send(t *testing.T, c *http1.Client, method string) (string, error) {
+	t.Helper()
+	a, err := c.Send(t.Context(), http1.Request{
+		Method:  method,
+		URI:     "/x",
+		Body:    []byte("body"),
+		Timeout: limit,
+	})
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	body, err := a.Body(100)
+	return string(body), err
+}
+
+func TestEachRequestIsSentOnce(t *testing.T) {
+	hangUp := func(io.Writer, int64, *http.Request) bool {
+		return false
+	}
+	t.Run("the library's defaults repeat a PUT", func(t *testing.T) {
+		p := listen(t, hangUp)
+		naive := &fasthttp.HostClient{
+			Addr: p.addr,
+		}
+		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		req.Header.SetMethod(http.MethodPut)
+		req.SetRequestURI("http://" + p.addr + "/x")
+		require.Error(t, naive.Do(req, resp))
+		require.Greater(t, p.requests.Load(), int64(1))
+	})
+	for _, method := range []string{"GET", "HEAD", "PUT", "POST", "DELETE", "PATCH"} {
+		t.Run(method, func(t *testing.T) {
+			p := listen(t, hangUp)
+			c := http1.New(p.addr, 100)
+			defer c.Close()
+			_, err := send(t, c, method)
+			require.ErrorIs(t, err, waxwingpick.ErrEngineLost)
+			require.EqualValues(t, 1, p.requests.Load())
+		})
+	}
+}
+
+func TestBytesThatNoRequestAskedForReachNobody(t *testing.T) {
+	// The first answer is followed by a second one, as of a confused peer.
+	twice := func(w io.Writer, n int64, _ *http.Request) bool {
+		text := answer + "mine"
+		if n == 1 {
+			text += answer + "odd!"
+		}
+		_, err := io.WriteString(w, text)
+		return err == nil
+	}
+	t.Run("the bare library hands them to the next caller", func(t *testing.T) {
+		p := listen(t, twice)
+		naive := &fasthttp.HostClient{
+			Addr: p.addr,
+			// A small buffer leaves the second answer in the socket.
+			ReadBufferSize: len(answer + "mine"),
+		}
+		var got string
+		for range 2 {
+			req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+			req.SetRequestURI("http://" + p.addr + "/x")
+			require.NoError(t, naive.Do(req, resp))
+			got = string(resp.Body())
+		}
+		require.Equal(t, "odd!", got)
+	})
+	p := listen(t, twice)
+	c := http1.New(p.addr, 100)
+	defer c.Close()
+	for range 3 {
+		got, err := send(t, c, http.MethodPost)
+		require.NoError(t, err)
+		require.Equal(t, "mine", got)
+	}
+}
+
+// TestHeaderLargerThanTheFirstBuffer reads answers with a large header, behind which bytes may follow that nobody asked for.
+func TestHeaderLargerThanTheFirstBuffer(t *testing.T) {
+	for _, header := range []int{5 << 10, 15 << 10} {
+		large := "HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", header) + "\r\nContent-Length: 4\r\n\r\nmine"
+		p := listen(t, func(w io.Writer, _ int64, _ *http.Request) bool {
+			_, err := io.WriteString(w, large+answer+"odd!")
+			return err == nil
+		})
+		c := http1.New(p.addr, 100)
+		defer c.Close()
+		for range 3 {
+			got, err := send(t, c, http.MethodPost)
+			require.NoError(t, err)
+			require.Equal(t, "mine", got)
+		}
+	}
+}
+
+func TestIdleConnectionThatThePeerClosedCostsNothing(t *testing.T) {
+	const calls = 20
+	closed := make(chan struct{}, 1)
+	serve := func(w io.Writer, _ int64, _ *http.Request) bool {
+		_, _ = io.WriteString(w, answer+"mine")
+		w.(net.Conn).Close()
+		closed <- struct{}{}
+		return false
+	}
+	t.Run("the bare library loses the next request", func(t *testing.T) {
+		p := listen(t, serve)
+		naive := &fasthttp.HostClient{
+			Addr: p.addr,
+		}
+		req := fasthttp.AcquireRequest()
+		req.Header.SetMethod(http.MethodPost)
+		req.SetRequestURI("http://" + p.addr + "/x")
+		require.NoError(t, naive.Do(req, fasthttp.AcquireResponse()))
+		<-closed
+		require.Error(t, naive.Do(req, fasthttp.AcquireResponse()))
+	})
+	p := listen(t, serve)
+	c := http1.New(p.addr, 100)
+	defer c.Close()
+	for range calls {
+		got, err := send(t, c, http.MethodPost)
+		require.NoError(t, err)
+		require.Equal(t, "mine", got)
+		<-closed
+	}
+	require.EqualValues(t, calls, p.requests.Load())
+}
+
+func TestRefusedConnectionIsNotSent(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := ln.Addr().String()
+	require.NoError(t, ln.Close())
+	c := http1.New(addr, 100)
+	defer c.Close()
+	_, err = send(t, c, http.MethodPost)
+	require.ErrorIs(t, err, waxwingpick.ErrEngineUnreachable)
+}
+
+func TestGivenUpRequestReturnsAtOnce(t *testing.T) {
+	received := make(chan struct{})
+	release := make(chan struct{})
+	p := listen(t, func(io.Writer, int64, *http.Request) bool {
+		close(received)
+		<-release
+		return false
+	})
+	c := http1.New(p.addr, 100)
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() {
+		_, err := c.Send(ctx, http1.Request{
+			Method:  http.MethodPost,
+			URI:     "/x",
+			Timeout: limit,
+		})
+		done <- err
+	}()
+	<-received
+	cancel()
+	err := <-done
+	require.ErrorIs(t, err, waxwingpick.ErrEngineLost)
+	require.ErrorIs(t, err, context.Canceled)
+	// The peer still hangs, and the abandoned exchange ends all the same.
+	c.Close()
+	close(release)
+	_, err = c.Send(ctx, http1.Request{
+		Method:  http.MethodPost,
+		URI:     "/x",
+		Timeout: limit,
+	})
+	require.ErrorIs(t, err, waxwingpick.ErrEngineUnreachable)
+}
+
+func TestHalfReadStreamIsNeverPooled(t *testing.T) {
+	serve := func(w io.Writer, _ int64, r *http.Request) bool {
+		text := answer + "mine"
+		if r.Method == http.MethodGet {
+			text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n4\r\nrest\r\n0\r\n\r\n"
+		}
+		_, err := io.WriteString(w, text)
+		return err == nil
+	}
+	t.Run("a body left open holds its connection", func(t *testing.T) {
+		p := listen(t, serve)
+		naive := &fasthttp.HostClient{
+			Addr:               p.addr,
+			MaxConns:           1,
+			StreamResponseBody: true,
+		}
+		req, resp := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+		req.SetRequestURI("http://" + p.addr + "/x")
+		require.NoError(t, naive.Do(req, resp))
+		require.ErrorIs(t, naive.Do(req, fasthttp.AcquireResponse()), fasthttp.ErrNoFreeConns)
+		require.NoError(t, resp.CloseBodyStream())
+	})
+	p := listen(t, serve)
+	c := http1.New(p.addr, 100)
+	defer c.Close()
+	for range 3 {
+		a, err := c.Send(t.Context(), http1.Request{
+			Method:  http.MethodGet,
+			URI:     "/x",
+			Timeout: limit,
+			Stream:  true,
+		})
+		require.NoError(t, err)
+		part := make([]byte, 4)
+		_, err = io.ReadFull(a.Stream(), part)
+		require.NoError(t, err)
+		require.Equal(t, "part", string(part))
+		a.Close()
+		got, err := send(t, c, http.MethodPost)
+		require.NoError(t, err)
+		require.Equal(t, "mine", got)
+	}
+	// Each half-read body took its connection along; the other connection stays in use.
+	require.EqualValues(t, 4, p.conns.Load())
+}
--- /dev/null
+++ b/io/openai/chunk.go
@@ -0,0 +1,228 @@
+package openai
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/goccy/go-json"
+)
+
+// Chunk is one streamed piece of an answer; choices are passed on as the engine sent them.
+type Chunk struct {
+	ID      string          `json:"id"`
+	Object  string          `json:"object"`
+	Created int64           `json:"created"`
+	Model   string          `json:"model"`
+	Choices []Choice        `json:"choices"`
+	Usage   json.RawMessage `json:"usage,omitempty"`
+}
+
+// Choice is the piece of one choice.
+type Choice struct {
+	Index        int             `json:"index"`
+	Delta        *Delta          `json:"delta,omitempty"`
+	Text         *string         `json:"text,omitempty"`
+	Logprobs     json.RawMessage `json:"logprobs,omitempty"`
+	FinishReason *string         `json:"finish_reason"`
+}
+
+// Delta is the piece of a chat message.
+type Delta struct {
+	Role      string     `json:"role,omitempty"`
+	Content   string     `json:"content,omitempty"`
+	ToolCalls []ToolCall `json:"tool_calls,omitempty"`
+}
+
+// ToolCall is a piece of a call of a caller's tool; pieces with the same index belong together.
+type ToolCall struct {
+	Index    int      `json:"index"`
+	ID       string   `json:"id,omitempty"`
+	Type     string   `json:"type,omitempty"`
+	Function Function `json:"function"`
+}
+
+// Function is the function that a tool call names, with its arguments as JSON text.
+type Function struct {
+	Name      string `json:"name,omitempty"`
+	Arguments string `json:"arguments,omitempty"`
+}
+
+// ParseChunk reads one chunk of an engine.
+func ParseChunk(data []byte) (Chunk, error) {
+	var c Chunk
+	if err := json.Unmarshal(data, &c); err != nil {
+		return c, fmt.Errorf("decode chunk: %w", err)
+	}
+	return c, nil
+}
+
+// marshalChunk returns the chunk as it is sent to a caller.
+func marshalChunk(c Chunk) ([]byte, error) {
+	data, err := json.Marshal(c)
+	if err != nil {
+		return nil, fmt.Errorf("encode chunk: %w", err)
+	}
+	return data, nil
+}
+
+// Text returns the chunk's text.
+func (c Chunk) Text() string {
+	var text strings.Builder
+	for _, choice := range c.Choices {
+		if choice.Delta != nil {
+			text.WriteString(choice.Delta.Content)
+		}
+		if choice.Text != nil {
+			text.WriteString(*choice.Text)
+		}
+	}
+	return text.String()
+}
+
+// usage is the part of a chunk's usage that matters here.
+type usage struct {
+	PromptTokens     int `json:"prompt_tokens"`
+	CompletionTokens int `json:"completion_tokens"`
+}
+
+// PromptTokens returns the number of prompt tokens where the engine reports it, and whether it does.
+func (c Chunk) PromptTokens() (int, bool) {
+	var u usage
+	if json.Unmarshal(c.Usage, &u) != nil || u.PromptTokens == 0 {
+		return 0, false
+	}
+	return u.PromptTokens, true
+}
+
+// Tokens returns the number of tokens up to and with this chunk where the engine reports it, and whether it does.
+func (c Chunk) Tokens() (int, bool) {
+	var u usage
+	if json.Unmarshal(c.Usage, &u) != nil || u.CompletionTokens == 0 {
+		return 0, false
+	}
+	return u.CompletionTokens, true
+}
+
+// FinishedByLength returns the last chunk of an answer whose bound on tokens was reached.
+func FinishedByLength(path, model string) ([]byte, error) {
+	reason := "length"
+	choice := Choice{
+		FinishReason: &reason,
+	}
+	object := "text_completion"
+	if path == ChatPath {
+		object = "chat.completion.chunk"
+		choice.Delta = &Delta{}
+	}
+	data, err := json.Marshal(Chunk{
+		Object:  object,
+		Model:   model,
+		Choices: []Choice{choice},
+	})
+	if err != nil {
+		return nil, fmt.Errorf("encode last chunk: %w", err)
+	}
+	return data, nil
+}
+
+// response is a whole answer in one piece.
+type response struct {
+	ID      string           `json:"id"`
+	Object  string           `json:"object"`
+	Created int64            `json:"created"`
+	Model   string           `json:"model"`
+	Choices []responseChoice `json:"choices"`
+	Usage   json.RawMessage  `json:"usage,omitempty"`
+}
+
+type responseChoice struct {
+	Index        int              `json:"index"`
+	Message      *responseMessage `json:"message,omitempty"`
+	Text         *string          `json:"text,omitempty"`
+	FinishReason *string          `json:"finish_reason"`
+}
+
+type responseMessage struct {
+	Role      string     `json:"role"`
+	Content   string     `json:"content"`
+	ToolCalls []ToolCall `json:"tool_calls,omitempty"`
+}
+
+// Assembler joins the chunks of an answer into one response.
+type Assembler struct {
+	first     Chunk
+	started   bool
+	text      strings.Builder
+	toolCalls []ToolCall
+	finish    *string
+	usage     json.RawMessage
+}
+
+// Add takes the next chunk.
+func (a *Assembler) Add(c Chunk) {
+	if !a.started {
+		a.first = c
+		a.started = true
+	}
+	a.text.WriteString(c.Text())
+	if c.Usage != nil && string(c.Usage) != "null" {
+		a.usage = c.Usage
+	}
+	for _, choice := range c.Choices {
+		if choice.FinishReason != nil {
+			a.finish = choice.FinishReason
+		}
+		if choice.Delta != nil {
+			a.addToolCalls(choice.Delta.ToolCalls)
+		}
+	}
+}
+
+// addToolCalls joins the pieces of each tool call.
+func (a *Assembler) addToolCalls(pieces []ToolCall) {
+	for _, piece := range pieces {
+		i := slices.IndexFunc(a.toolCalls, func(known ToolCall) bool {
+			return known.Index == piece.Index
+		})
+		if i < 0 {
+			a.toolCalls = append(a.toolCalls, piece)
+			continue
+		}
+		known := &a.toolCalls[i]
+		known.ID += piece.ID
+		known.Function.Name += piece.Function.Name
+		known.Function.Arguments += piece.Function.Arguments
+	}
+}
+
+// Response returns the whole answer in the format of the path.
+func (a *Assembler) Response(path string) ([]byte, error) {
+	choice := responseChoice{
+		FinishReason: a.finish,
+	}
+	object := "text_completion"
+	text := a.text.String()
+	if path == ChatPath {
+		object = "chat.completion"
+		choice.Message = &responseMessage{
+			Role:      "assistant",
+			Content:   text,
+			ToolCalls: a.toolCalls,
+		}
+	} else {
+		choice.Text = &text
+	}
+	body, err := json.Marshal(response{
+		ID:      a.first.ID,
+		Object:  object,
+		Created: a.first.Created,
+		Model:   a.first.Model,
+		Choices: []responseChoice{choice},
+		Usage:   a.usage,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("encode response: %w", err)
+	}
+	return body, nil
+}
--- /dev/null
+++ b/io/openai/server.go
@@ -0,0 +1,289 @@
+package openai
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+	"github.com/sourcegraph/conc"
+
+	"waxwingpick"
+	"waxwingpick/io/internal/http1"
+	"waxwingpick/io/mtls"
+	"waxwingpick/io/tcp"
+)
+
+// Time-outs and bounds towards callers.
+const (
+	readTimeout  = 30 * time.Second
+	idleTimeout  = 75 * time.Second
+	writeIdle    = 15 * time.Second
+	headerBytes  = 16 << 10
+	maxPathBytes = 2048
+	maxKeyBytes  = 255
+	// maxTraceBytes bounds the traceparent that is passed on; a valid one of today has 55 bytes.
+	maxTraceBytes  = 128
+	maxConcurrency = 4096
+)
+
+// defaultWorkspace is the workspace of requests that name none.
+const defaultWorkspace = "default"
+
+const servicesPrefix = "/services/"
+
+// Server is the HTTP server that callers talk to.
+type Server struct {
+	backend     Backend
+	timers      waxwingpick.Timers
+	leavers     *leavers
+	app         *fiber.App
+	credentials *mtls.Credentials
+	wg          conc.WaitGroup
+	stop        func()
+}
+
+// Option sets one property of a server.
+type Option func(*Server)
+
+// ServeWith secures the connections of callers.
+func ServeWith(c *mtls.Credentials) Option {
+	return func(s *Server) {
+		s.credentials = c
+	}
+}
+
+// NewServer returns a server for the backend with a bound on request bodies in
+// bytes; metrics answers /metrics.
+func NewServer(backend Backend, timers waxwingpick.Timers, maxBody int, metrics fiber.Handler, opts ...Option) *Server {
+	s := &Server{
+		backend: backend,
+		timers:  timers,
+		leavers: newLeavers(),
+		stop:    func() {},
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	s.app = fiber.New(fiber.Config{
+		BodyLimit:      maxBody,
+		ReadTimeout:    readTimeout,
+		IdleTimeout:    idleTimeout,
+		ReadBufferSize: headerBytes,
+		Concurrency:    maxConcurrency,
+		ErrorHandler:   handleError,
+		StrictRouting:  true,
+		CaseSensitive:  true,
+	})
+	s.app.Get("/healthz", func(c fiber.Ctx) error {
+		return c.SendStatus(fiber.StatusOK)
+	})
+	s.app.Get("/readyz", s.ready)
+	if metrics != nil {
+		s.app.Get("/metrics", metrics)
+	}
+	s.app.Get(ModelsPath, s.models)
+	s.app.Post(ChatPath, s.generate)
+	s.app.Post(CompletionsPath, s.generate)
+	s.app.All(servicesPrefix+":service/*", s.call)
+	return s
+}
+
+// Start listens on the address, serves until Shutdown and returns the bound address.
+func (s *Server) Start(addr string) (string, error) {
+	ln, err := tcp.Listen(addr, maxConcurrency, writeIdle)
+	if err != nil {
+		return "", err
+	}
+	s.stop = s.timers.Every(leavePeriod, s.leavers.look)
+	s.wg.Go(func() {
+		s.serve(ln)
+	})
+	return ln.Addr().String(), nil
+}
+
+// Shutdown stops listening and waits for running requests until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	defer s.stop()
+	if err := s.app.ShutdownWithContext(ctx); err != nil {
+		return fmt.Errorf("stop callers' server: %w", err)
+	}
+	s.wg.Wait()
+	return nil
+}
+
+func (s *Server) serve(ln net.Listener) {
+	// A broken listener shows as refused connections, which the balancer's checks see.
+	_ = s.app.Listener(s.credentials.Listen(ln), fiber.ListenConfig{
+		DisableStartupMessage: true,
+	})
+}
+
+func handleError(c fiber.Ctx, err error) error {
+	var e *fiber.Error
+	if errors.As(err, &e) {
+		return sendProblem(c, Problem{
+			Type:    "about:blank",
+			Title:   e.Message,
+			Status:  e.Code,
+			Outcome: waxwingpick.OutcomeNotRun,
+		})
+	}
+	return sendProblem(c, NewProblem(err))
+}
+
+func (s *Server) ready(c fiber.Ctx) error {
+	if err := s.backend.Ready(); err != nil {
+		return c.Status(fiber.StatusServiceUnavailable).SendString(err.Error())
+	}
+	return c.SendStatus(fiber.StatusOK)
+}
+
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelItem `json:"data"`
+}
+
+type modelItem struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	OwnedBy string `json:"owned_by"`
+}
+
+func (s *Server) models(c fiber.Ctx) error {
+	list := modelList{
+		Object: "list",
+		Data:   []modelItem{},
+	}
+	for _, name := range s.backend.Models() {
+		list.Data = append(list.Data, modelItem{
+			ID:      name,
+			Object:  "model",
+			OwnedBy: "waxwingpick",
+		})
+	}
+	return c.JSON(list)
+}
+
+func (s *Server) generate(c fiber.Ctx) error {
+	caller, err := parseCaller(c)
+	if err != nil {
+		return err
+	}
+	req, err := ParseRequest(strings.Clone(c.Path()), c.Body())
+	if err != nil {
+		return err
+	}
+	// A model request may be repeated, so nobody needs it once its caller has left; a stream is then noticed by its writes.
+	ctx, stop := s.leavers.watch(c.RequestCtx().Conn())
+	defer stop()
+	answer, err := s.backend.Generate(ctx, ModelCall{
+		Caller:  caller,
+		Request: req,
+	})
+	if err != nil {
+		return sendProblem(c, modelProblem(err))
+	}
+	if req.Stream() {
+		return streamAnswer(c, answer, req.WantsUsage())
+	}
+	defer answer.Close()
+	return sendWhole(c, req.Path(), answer)
+}
+
+func sendWhole(c fiber.Ctx, path string, answer Answer) error {
+	var whole Assembler
+	for {
+		chunk, err := answer.Next()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			return sendProblem(c, modelProblem(err))
+		}
+		whole.Add(chunk)
+	}
+	body, err := whole.Response(path)
+	if err != nil {
+		return err
+	}
+	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+	return c.Send(body)
+}
+
+func streamAnswer(c fiber.Ctx, answer Answer, usage bool) error {
+	c.Set(fiber.HeaderContentType, "text/event-stream")
+	c.Set(fiber.HeaderCacheControl, "no-cache")
+	write := func(w io.Writer) {
+		events := &eventWriter{
+			w:     w,
+			usage: usage,
+		}
+		events.copy(answer)
+	}
+	return c.SendStream(http1.NewStreamBody(write, answer.Close))
+}
+
+func (s *Server) call(c fiber.Ctx) error {
+	caller, err := parseCaller(c)
+	if err != nil {
+		return err
+	}
+	path := strings.Clone(c.OriginalURL())
+	if len(path) > maxPathBytes {
+		return fiber.ErrRequestURITooLong
+	}
+	service := strings.Clone(c.Params("service"))
+	req := waxwingpick.CallRequest{
+		Method: strings.Clone(c.Method()),
+		Path:   strings.TrimPrefix(path, servicesPrefix+service),
+		Body:   append([]byte(nil), c.Body()...),
+	}
+	for name, value := range c.Request().Header.All() {
+		req.Headers = append(req.Headers, waxwingpick.Header{
+			Name:  string(name),
+			Value: string(value),
+		})
+	}
+	resp, err := s.backend.Call(context.Background(), ServiceCall{
+		Caller:  caller,
+		Service: waxwingpick.ServiceName(service),
+		Request: req,
+	})
+	if err != nil {
+		return err
+	}
+	for _, h := range resp.Headers {
+		c.Response().Header.Add(h.Name, h.Value)
+	}
+	return c.Status(resp.Status).Send(resp.Body)
+}
+
+func parseCaller(c fiber.Ctx) (Caller, error) {
+	caller := Caller{
+		Workspace:      defaultWorkspace,
+		IdempotencyKey: strings.Clone(c.Get("Idempotency-Key")),
+		Traceparent:    strings.Clone(c.Get("Traceparent")),
+		Priority:       strings.Clone(c.Get("Priority")),
+		Prefer:         strings.Clone(c.Get("Prefer")),
+	}
+	if len(caller.Traceparent) > maxTraceBytes {
+		// A receiver ignores a traceparent that is not valid.
+		caller.Traceparent = ""
+	}
+	if project := c.Get("OpenAI-Project"); project != "" {
+		caller.Workspace = waxwingpick.WorkspaceID(strings.Clone(project))
+	}
+	if len(caller.IdempotencyKey) > maxKeyBytes || len(caller.Workspace) > maxKeyBytes {
+		return caller, &FieldError{
+			Field:   "Idempotency-Key, OpenAI-Project",
+			Allowed: "at most " + strconv.Itoa(maxKeyBytes) + " bytes",
+		}
+	}
+	return caller, nil
+}
--- /dev/null
+++ b/io/plain/doc.go
@@ -0,0 +1,3 @@
+// Package plain speaks HTTP to one plain service and sends each request at
+// most once.
+package plain
--- /dev/null
+++ b/io/platform/client.go
@@ -0,0 +1,89 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/rotisserie/eris"
+
+	"waxwingpick"
+	"waxwingpick/io/internal/http1"
+)
+
+const (
+	defaultTimeout = 2 * time.Second
+	maxListBytes   = 4 << 20
+	listPath       = "/instances"
+)
+
+// ErrUnavailable says that the list could not be read.
+var ErrUnavailable = eris.New("platform list unavailable")
+
+var _ waxwingpick.Platform = (*Client)(nil)
+
+type settings struct {
+	timeout time.Duration
+}
+
+// Option sets one property of a client.
+type Option func(*settings) error
+
+// Timeout bounds each read of the list.
+func Timeout(d time.Duration) Option {
+	return http1.Positive("timeout", d, func(s *settings) *time.Duration {
+		return &s.timeout
+	})
+}
+
+// Client reads one platform list.
+type Client struct {
+	cfg  settings
+	http *http1.Client
+}
+
+// New returns a client of the platform list at the IP address and port.
+func New(addr string, opts ...Option) (*Client, error) {
+	c := &Client{
+		cfg: settings{
+			timeout: defaultTimeout,
+		},
+		http: http1.New(addr, maxListBytes),
+	}
+	if err := http1.Apply(&c.cfg, opts); err != nil {
+		return nil, fmt.Errorf("platform: %w", err)
+	}
+	return c, nil
+}
+
+// Close ends the idle connections.
+func (c *Client) Close() {
+	c.http.Close()
+}
+
+// Instances reads the list; it fails with ErrUnavailable.
+func (c *Client) Instances(ctx context.Context) ([]waxwingpick.Instance, error) {
+	a, err := c.http.Send(ctx, http1.Request{
+		Method:  http.MethodGet,
+		URI:     listPath,
+		Timeout: c.cfg.timeout,
+	})
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	defer a.Close()
+	if a.Status() != http.StatusOK {
+		return nil, fmt.Errorf("%w: status %d", ErrUnavailable, a.Status())
+	}
+	body, err := a.Body(maxListBytes)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
+	}
+	var list []waxwingpick.Instance
+	if err := json.Unmarshal(body, &list); err != nil {
+		return nil, fmt.Errorf("%w: decode: %w", ErrUnavailable, err)
+	}
+	return list, nil
+}
--- /dev/null
+++ b/io/sidecar/server.go
@@ -0,0 +1,268 @@
+package sidecar
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/goccy/go-json"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/rotisserie/eris"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"waxwingpick"
+	"waxwingpick/io/internal/http1"
+	"waxwingpick/io/mtls"
+	"waxwingpick/io/tcp"
+)
+
+// Time-outs of the server.
+const (
+	requestReadTimeout = 30 * time.Second
+	keepAliveIdle      = 30 * time.Second
+	writeIdle          = 10 * time.Second
+)
+
+// otherHeaderBytes is the room for what a request's header holds besides the attempt.
+const otherHeaderBytes = 4 << 10
+
+// SendFunc sends one frame of an answer; an error means that the entry is gone.
+type SendFunc func(f Frame) error
+
+// Handler runs attempts; its methods are called side by side.
+type Handler interface {
+	// Generate runs a model request and sends its frames until the stream ends.
+	Generate(ctx context.Context, a Attempt, body []byte, send SendFunc)
+	// Resume sends the frames of a stream that the engine still holds, from the attempt's offset.
+	Resume(ctx context.Context, a Attempt, send SendFunc)
+	// Cancel ends an attempt's stream.
+	Cancel(ctx context.Context, a Attempt)
+	// Prefill computes and exports the KV cache of a model request, for its decode on another engine.
+	Prefill(ctx context.Context, a Attempt, body []byte) (waxwingpick.KVExport, *waxwingpick.Refusal)
+	// Export exports the KV cache of a moved stream, which stays until it is cancelled.
+	Export(ctx context.Context, a Attempt) (waxwingpick.KVExport, *waxwingpick.Refusal)
+	// Call runs a call to a plain service.
+	Call(ctx context.Context, a Attempt, body []byte) Result
+}
+
+// Server takes attempts from entries.
+type Server struct {
+	handler     Handler
+	timers      waxwingpick.Timers
+	metrics     fasthttp.RequestHandler
+	http        *fasthttp.Server
+	credentials *mtls.Credentials
+	wg          conc.WaitGroup
+}
+
+// ServerOption sets one property of a server.
+type ServerOption func(*Server)
+
+// ServeWith secures the connections that the server accepts.
+func ServeWith(c *mtls.Credentials) ServerOption {
+	return func(s *Server) {
+		s.credentials = c
+	}
+}
+
+// callersOf returns the roles of certificates that may call a path; none for an unknown one.
+func callersOf(path string) []mtls.Role {
+	switch path {
+	case generatePath, resumePath, callPath:
+		return []mtls.Role{mtls.RoleEntry}
+	case prefillPath, exportPath, cancelPath:
+		// The sidecar of another engine fetches KV cache, and frees it.
+		return []mtls.Role{mtls.RoleEntry, mtls.RoleSidecar}
+	case metricsPath:
+		return []mtls.Role{mtls.RoleMonitor, mtls.RoleOperator}
+	}
+	return nil
+}
+
+// Limits bounds what a server reads of a request, in bytes.
+type Limits struct {
+	// Body bounds request bodies.
+	Body int
+	// Attempt bounds encoded attempts; each connection holds a buffer for one.
+	Attempt int
+}
+
+// NewServer returns a server for the handler of a target; it answers /metrics from the gatherer.
+func NewServer(h Handler, self Identity, limits Limits, timers waxwingpick.Timers, metrics prometheus.Gatherer, opts ...ServerOption) *Server {
+	s := &Server{
+		timers: timers,
+		handler: selective{
+			Handler: h,
+			self:    self,
+		},
+		metrics: fasthttpadaptor.NewFastHTTPHandler(promhttp.HandlerFor(metrics, promhttp.HandlerOpts{})),
+	}
+	s.http = &fasthttp.Server{
+		Handler:                      s.serve,
+		MaxRequestBodySize:           limits.Body,
+		ReadBufferSize:               limits.Attempt + otherHeaderBytes,
+		ReadTimeout:                  requestReadTimeout,
+		IdleTimeout:                  keepAliveIdle,
+		CloseOnShutdown:              true,
+		NoDefaultServerHeader:        true,
+		DisablePreParseMultipartForm: true,
+		Logger:                       discardLogger{},
+	}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
+}
+
+// Start listens on the address, serves until Shutdown and returns the bound address.
+func (s *Server) Start(addr string) (string, error) {
+	ln, err := tcp.Listen(addr, tcp.DefaultMaxConns, writeIdle)
+	if err != nil {
+		return "", err
+	}
+	s.wg.Go(func() {
+		// Serve ends without an error on Shutdown; a broken listener shows as refused connections.
+		_ = s.http.Serve(s.credentials.Listen(ln))
+	})
+	return ln.Addr().String(), nil
+}
+
+// Shutdown stops listening and waits for running streams until ctx ends.
+func (s *Server) Shutdown(ctx context.Context) error {
+	if err := s.http.ShutdownWithContext(ctx); err != nil {
+		return fmt.Errorf("stop data server: %w", err)
+	}
+	s.wg.Wait()
+	return nil
+}
+
+func (s *Server) serve(ctx *fasthttp.RequestCtx) {
+	path := string(ctx.Path())
+	if err := s.credentials.Authorize(ctx.Conn(), path, callersOf(path)); err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusForbidden)
+		return
+	}
+	if path == metricsPath {
+		s.metrics(ctx)
+		return
+	}
+	a, err := decodeAttempt(ctx.Request.Header.Peek(attemptHeader))
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		return
+	}
+	switch path {
+	case generatePath:
+		body := append([]byte(nil), ctx.PostBody()...)
+		s.stream(ctx, a, func(ctx context.Context, send SendFunc) {
+			s.handler.Generate(ctx, a, body, send)
+		})
+	case resumePath:
+		s.stream(ctx, a, func(ctx context.Context, send SendFunc) {
+			s.handler.Resume(ctx, a, send)
+		})
+	case cancelPath:
+		s.handler.Cancel(context.Background(), a)
+	case callPath:
+		s.call(ctx, a)
+	case prefillPath:
+		body := append([]byte(nil), ctx.PostBody()...)
+		s.export(ctx, a, func(ctx context.Context) (waxwingpick.KVExport, *waxwingpick.Refusal) {
+			return s.handler.Prefill(ctx, a, body)
+		})
+	case exportPath:
+		s.export(ctx, a, func(ctx context.Context) (waxwingpick.KVExport, *waxwingpick.Refusal) {
+			return s.handler.Export(ctx, a)
+		})
+	default:
+		ctx.Error("no such path", fasthttp.StatusNotFound)
+	}
+}
+
+func (s *Server) call(ctx *fasthttp.RequestCtx, a Attempt) {
+	runCtx, cancel := context.WithTimeout(context.Background(), a.remaining())
+	defer cancel()
+	result := s.handler.Call(runCtx, a, append([]byte(nil), ctx.PostBody()...))
+	head, err := json.Marshal(result)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.Response.Header.SetBytesV(resultHeader, head)
+	ctx.SetBody(result.Body)
+}
+
+// exportFunc computes or takes KV cache and exports it.
+type exportFunc func(ctx context.Context) (waxwingpick.KVExport, *waxwingpick.Refusal)
+
+func (s *Server) export(ctx *fasthttp.RequestCtx, a Attempt, run exportFunc) {
+	runCtx, cancel := context.WithTimeout(context.Background(), a.remaining())
+	defer cancel()
+	export, refusal := run(runCtx)
+	head, err := json.Marshal(Result{
+		Attempt: a.ID,
+		Status:  fasthttp.StatusOK,
+		Refusal: refusal,
+	})
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.Response.Header.SetBytesV(resultHeader, head)
+	if refusal != nil {
+		return
+	}
+	body, err := json.Marshal(export)
+	if err != nil {
+		ctx.Error(err.Error(), fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetBody(body)
+}
+
+// stream answers with the frames that run sends, and with heartbeats between them.
+func (s *Server) stream(ctx *fasthttp.RequestCtx, a Attempt, run func(ctx context.Context, send SendFunc)) {
+	write := func(w io.Writer) {
+		runCtx, cancel := context.WithTimeout(context.Background(), a.remaining())
+		defer cancel()
+		fw := newFrameWriter(w, a.ID, s.timers, cancel)
+		defer fw.close()
+		run(runCtx, fw.send)
+	}
+	ctx.Response.SetBodyStream(http1.NewStreamBody(write, func() {}), -1)
+}
+
+// errBadAttempt says that a request carries no valid attempt.
+var errBadAttempt = eris.New("bad attempt header")
+
+func decodeAttempt(head []byte) (Attempt, error) {
+	var a Attempt
+	if len(head) == 0 || len(head) > MaxAttemptSize {
+		return a, fmt.Errorf("%w: %d bytes, allowed 1 to %d", errBadAttempt, len(head), MaxAttemptSize)
+	}
+	if err := json.Unmarshal(head, &a); err != nil {
+		return a, fmt.Errorf("%w: %w", errBadAttempt, err)
+	}
+	if a.ID == "" {
+		return a, fmt.Errorf("%w: no id", errBadAttempt)
+	}
+	return a, nil
+}
+
+func (a Attempt) remaining() time.Duration {
+	return time.Duration(a.RemainingMillis) * time.Millisecond
+}
+
+// Deadline returns the attempt's deadline, counted from now.
+func (a Attempt) Deadline(now time.Time) time.Time {
+	return now.Add(a.remaining())
+}
+
+type discardLogger struct{}
+
+// Printf drops the library's message; the handler logs what matters.
+func (discardLogger) Printf(string, ...any) {}
--- /dev/null
+++ b/io/sidecar/wire_test.go
@@ -0,0 +1,71 @@
+package sidecar_test
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+
+	fast "github.com/goccy/go-json"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"waxwingpick"
+	"waxwingpick/core/suspect"
+	"waxwingpick/io/sidecar"
+)
+
+// TestFastEncodingMeansTheSame compares the library for the messages of the request path with the standard one, in
+// both directions.
+func TestFastEncodingMeansTheSame(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := rapid.String()
+		lifted := time.Unix(rapid.Int64Range(0, 1<<40).Draw(t, "lifted"), rapid.Int64Range(0, 999_999_999).Draw(t, "nanos")).UTC()
+		record := suspect.Record{
+			Fingerprint: suspect.Of("w", "p", []byte(text.Draw(t, "body"))),
+			Lifted:      lifted,
+		}
+		meansTheSame(t, &sidecar.Attempt{
+			ID:              text.Draw(t, "id"),
+			Class:           rapid.SampledFrom([]waxwingpick.Class{waxwingpick.ClassQuick, waxwingpick.ClassLong, waxwingpick.ClassOrder}).Draw(t, "class"),
+			Headers:         rapid.SliceOfN(rapid.Make[waxwingpick.Header](), 0, 3).Draw(t, "headers"),
+			RemainingMillis: rapid.Int64().Draw(t, "remaining"),
+			Fingerprint:     record.Fingerprint,
+			Suspicion:       &record,
+			Prefill:         rapid.Ptr(rapid.Make[sidecar.PrefillLeg](), true).Draw(t, "prefill"),
+			Source:          rapid.Ptr(rapid.Make[sidecar.MoveSource](), true).Draw(t, "source"),
+		})
+		data, err := json.Marshal(text.Draw(t, "data"))
+		require.NoError(t, err)
+		meansTheSame(t, &sidecar.Frame{
+			Attempt: text.Draw(t, "attempt"),
+			Offset:  rapid.Int64().Draw(t, "offset"),
+			Data:    data,
+			Refusal: rapid.Ptr(rapid.Make[waxwingpick.Refusal](), true).Draw(t, "refusal"),
+			Report: &sidecar.Report{
+				Load: rapid.Make[waxwingpick.TargetLoad]().Draw(t, "load"),
+				Active: waxwingpick.EngineConfig{
+					Role:  rapid.SampledFrom(waxwingpick.Roles()).Draw(t, "role"),
+					Model: text.Draw(t, "model"),
+				},
+				Totals: rapid.Make[sidecar.Totals]().Draw(t, "totals"),
+			},
+		})
+	})
+}
+
+func meansTheSame[T any](t *rapid.T, value *T) {
+	slow, err := json.Marshal(value)
+	if err != nil {
+		// What the standard library can't encode, such as an infinite load, is refused by both.
+		_, err = fast.Marshal(value)
+		require.Error(t, err)
+		return
+	}
+	quick, err := fast.Marshal(value)
+	require.NoError(t, err)
+	require.JSONEq(t, string(slow), string(quick))
+	var want, got T
+	require.NoError(t, json.Unmarshal(quick, &want))
+	require.NoError(t, fast.Unmarshal(slow, &got))
+	require.Equal(t, want, got)
+}
--- /dev/null
+++ b/service.go
@@ -0,0 +1,30 @@
+package waxwingpick
+
+import "context"
+
+// CallRequest is one request to a plain service.
+type CallRequest struct {
+	Method  string
+	Path    string
+	Headers []Header
+	Body    []byte
+}
+
+// Header is one HTTP header field.
+type Header struct {
+	Name  string `json:"name"`
+	Value string `json:"value"`
+}
+
+// CallResponse is a plain service's whole answer.
+type CallResponse struct {
+	Status  int
+	Headers []Header
+	Body    []byte
+}
+
+// PlainService is the port to one plain service; its errors are ErrEngineUnreachable (nothing was sent),
+// or ErrEngineLost (it may have run).
+type PlainService interface {
+	Call(ctx context.Context, req CallRequest) (CallResponse, error)
+}
