--- a/internal/daemon/process_test.go
+++ b/internal/daemon/process_test.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -24,6 +23,7 @@
 	"waxwingpick/core/config"
 	"waxwingpick/core/plan"
 	"waxwingpick/internal/demo"
+	"waxwingpick/internal/loopback"
 	"waxwingpick/internal/standin/engine"
 	"waxwingpick/io/etcd"
 )
@@ -88,6 +88,7 @@
 		args: args,
 		log:  &output{},
 	}
+	p.cmd.Stdout = p.log
 	p.cmd.Stderr = p.log
 	require.NoError(t, p.cmd.Start())
 	t.Cleanup(func() {
@@ -106,7 +107,7 @@
 // standin starts a stand-in and returns its address.
 func standin(t *testing.T, kind string) string {
 	t.Helper()
-	cmd := exec.Command(filepath.Join(bin, "standin"), "-kind", kind, "-token", "5ms")
+	cmd := exec.Command(filepath.Join(bin, "standin"), "-kind", kind, "-token", "5ms", "-addr", loopback.AnyPort())
 	out, err := cmd.StdoutPipe()
 	require.NoError(t, err)
 	require.NoError(t, cmd.Start())
@@ -122,10 +123,9 @@
 // freeAddr returns a loopback address that nothing listens on.
 func freeAddr(t *testing.T) string {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	addr, err := loopback.Free()
 	require.NoError(t, err)
-	defer ln.Close()
-	return ln.Addr().String()
+	return addr
 }
 
 // fleet is a system of separate processes.
--- a/internal/daemon/relay_test.go
+++ b/internal/daemon/relay_test.go
@@ -6,6 +6,8 @@
 	"sync"
 	"testing"
 
+	"waxwingpick/internal/loopback"
+
 	"github.com/stretchr/testify/require"
 )
 
@@ -34,7 +36,7 @@
 
 func newRelay(t *testing.T, target string) *relay {
 	t.Helper()
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", loopback.AnyPort())
 	require.NoError(t, err)
 	r := &relay{
 		addr:   ln.Addr().String(),
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -44,11 +44,11 @@
 	log.WithField("level", log.GetLevel().String()).Info("settings reloaded: log level, certificates")
 }
 
-// newLog returns a logger of JSON lines on standard error.
+// newLog returns a logger of JSON lines on standard output.
 func newLog(level string) (*logrus.Logger, error) {
 	log := logrus.New()
 	log.SetFormatter(&logrus.JSONFormatter{})
-	log.SetOutput(os.Stderr)
+	log.SetOutput(os.Stdout)
 	return log, setLevel(log, level)
 }
 
--- a/internal/daemon/system_test.go
+++ b/internal/daemon/system_test.go
@@ -20,6 +20,7 @@
 	"waxwingpick/core/config"
 	"waxwingpick/core/plan"
 	"waxwingpick/internal/demo"
+	"waxwingpick/internal/loopback"
 	standinengine "waxwingpick/internal/standin/engine"
 	standinetcd "waxwingpick/internal/standin/etcd"
 	standinplatform "waxwingpick/internal/standin/platform"
@@ -157,7 +158,7 @@
 	var err error
 	s.store, err = standinetcd.New()
 	require.NoError(t, err)
-	s.kvAddr, err = s.store.Start("127.0.0.1:0")
+	s.kvAddr, err = s.store.Start(loopback.AnyPort())
 	require.NoError(t, err)
 	t.Cleanup(s.store.Close)
 	s.kv, err = etcd.New(s.kvAddr)
--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -13,6 +13,7 @@
 	"waxwingpick/core/timer"
 	"waxwingpick/internal/authority"
 	"waxwingpick/internal/entry"
+	"waxwingpick/internal/loopback"
 	"waxwingpick/internal/sidecar"
 	standinengine "waxwingpick/internal/standin/engine"
 	standinetcd "waxwingpick/internal/standin/etcd"
@@ -27,7 +28,6 @@
 )
 
 const (
-	loopback    = "127.0.0.1:0"
 	maxBody     = 8 << 20
 	readyPoll   = 20 * time.Millisecond
 	dialTimeout = 200 * time.Millisecond
@@ -184,7 +184,7 @@
 	if c.etcd, err = standinetcd.New(standinetcd.WithTimers(c.timers)); err != nil {
 		return fmt.Errorf("create key-value stand-in: %w", err)
 	}
-	if c.kvAddr, err = c.etcd.Start(loopback); err != nil {
+	if c.kvAddr, err = c.etcd.Start(loopback.AnyPort()); err != nil {
 		return fmt.Errorf("start key-value stand-in: %w", err)
 	}
 	if c.platform, err = standinplatform.New(); err != nil {
@@ -277,8 +277,8 @@
 		return err
 	}
 	o.Fleet = c.fleet
-	o.Control = loopback
-	o.Data = loopback
+	o.Control = loopback.AnyPort()
+	o.Data = loopback.AnyPort()
 	o.KeyValue = kv
 	o.Platform = list
 	o.Timers = c.timers
@@ -327,8 +327,8 @@
 		Fleet:    c.fleet,
 		Instance: id,
 		Zone:     c.zone(i),
-		Listen:   loopback,
-		Control:  loopback,
+		Listen:   loopback.AnyPort(),
+		Control:  loopback.AnyPort(),
 		KeyValue: kv,
 		Platform: list,
 		Timers:   c.timers,
--- /dev/null
+++ b/internal/loopback/loopback_test.go
@@ -0,0 +1,33 @@
+package loopback_test
+
+import (
+	"net"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"waxwingpick/internal/loopback"
+)
+
+// TestFreeAddressesDiffer takes addresses while no one listens on the former ones.
+func TestFreeAddressesDiffer(t *testing.T) {
+	seen := make(map[string]bool)
+	for range 500 {
+		addr, err := loopback.Free()
+		require.NoError(t, err)
+		require.False(t, seen[addr], addr)
+		seen[addr] = true
+	}
+}
+
+// TestFreeAddressIsListenedOn listens on an address and reaches it.
+func TestFreeAddressIsListenedOn(t *testing.T) {
+	addr, err := loopback.Free()
+	require.NoError(t, err)
+	ln, err := net.Listen("tcp", addr)
+	require.NoError(t, err)
+	defer ln.Close()
+	c, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	require.NoError(t, c.Close())
+}
--- a/internal/measure/capacity/bench.go
+++ b/internal/measure/capacity/bench.go
@@ -12,6 +12,7 @@
 	"waxwingpick/core/config"
 	"waxwingpick/core/plan"
 	"waxwingpick/internal/demo"
+	"waxwingpick/internal/loopback"
 	standinetcd "waxwingpick/internal/standin/etcd"
 	standinplatform "waxwingpick/internal/standin/platform"
 	"waxwingpick/io/etcd"
@@ -22,7 +23,6 @@
 	service   waxwingpick.ServiceName = "maestro"
 	modelName                         = "model-0"
 	zones                             = 9
-	loopback                          = "127.0.0.1:0"
 	// slots is the number of requests that an engine runs at once.
 	slots = 256
 )
@@ -50,7 +50,7 @@
 	b := &bench{
 		kv: kv,
 	}
-	if b.kvAddr, err = kv.Start(loopback); err != nil {
+	if b.kvAddr, err = kv.Start(loopback.AnyPort()); err != nil {
 		return nil, fmt.Errorf("start key-value stand-in: %w", err)
 	}
 	if b.platform, err = standinplatform.New(); err != nil {
@@ -155,10 +155,10 @@
 
 // spawnEntry starts an entry; listen is its callers' address.
 func (b *bench) spawnEntry() (p *process, listen, control string, err error) {
-	if listen, err = freeAddr(); err != nil {
+	if listen, err = loopback.Free(); err != nil {
 		return nil, "", "", err
 	}
-	if control, err = freeAddr(); err != nil {
+	if control, err = loopback.Free(); err != nil {
 		return nil, "", "", err
 	}
 	section, err := b.security.settings(mtls.RoleEntry)
@@ -173,11 +173,11 @@
 
 // spawnSidecar starts the sidecar of a target, which is of the given kind, and returns the target's row.
 func (b *bench) spawnSidecar(i int, kind config.TargetKind, targetAddr string) (*process, waxwingpick.Instance, error) {
-	control, err := freeAddr()
+	control, err := loopback.Free()
 	if err != nil {
 		return nil, waxwingpick.Instance{}, err
 	}
-	data, err := freeAddr()
+	data, err := loopback.Free()
 	if err != nil {
 		return nil, waxwingpick.Instance{}, err
 	}
--- a/internal/measure/capacity/control.go
+++ b/internal/measure/capacity/control.go
@@ -14,6 +14,7 @@
 	"waxwingpick"
 	"waxwingpick/core/config"
 	"waxwingpick/core/instances"
+	"waxwingpick/internal/loopback"
 	standinengine "waxwingpick/internal/standin/engine"
 	standinplatform "waxwingpick/internal/standin/platform"
 	"waxwingpick/io/jsonrpc"
@@ -111,7 +112,7 @@
 		s := jsonrpc.NewServer("", jsonrpc.ServeWith(credentials))
 		jsonrpc.HandleTyped(s, sidecar.MethodProbe, e.probe, mtls.RoleEntry)
 		jsonrpc.HandlePeers(s, e)
-		addr, err := s.Start(loopback)
+		addr, err := s.Start(loopback.AnyPort())
 		if err != nil {
 			return servers, nil, fmt.Errorf("start control server: %w", err)
 		}
--- a/internal/measure/capacity/meter.go
+++ b/internal/measure/capacity/meter.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"waxwingpick/internal/loopback"
+
 	"github.com/sourcegraph/conc"
 )
 
@@ -23,7 +25,7 @@
 
 // startMeter starts a meter before the server at an address.
 func startMeter(to string) (*meter, error) {
-	ln, err := net.Listen("tcp", loopback)
+	ln, err := net.Listen("tcp", loopback.AnyPort())
 	if err != nil {
 		return nil, fmt.Errorf("start meter: %w", err)
 	}
--- a/internal/measure/capacity/process.go
+++ b/internal/measure/capacity/process.go
@@ -74,7 +74,9 @@
 		dir:  dir,
 		over: make(chan error, 1),
 	}
-	p.cmd.Stderr = &bytes.Buffer{}
+	var out bytes.Buffer
+	p.cmd.Stdout = &out
+	p.cmd.Stderr = &out
 	if err := p.cmd.Start(); err != nil {
 		return nil, fmt.Errorf("start %s: %w", kind, err)
 	}
@@ -83,7 +85,7 @@
 	}()
 	if !await(startLimit, func() bool { return takesConnections(control) }) {
 		p.stop()
-		return nil, eris.Errorf("%s did not start: %s", kind, p.cmd.Stderr)
+		return nil, eris.Errorf("%s did not start: %s", kind, out.String())
 	}
 	return p, nil
 }
@@ -201,16 +203,6 @@
 	return 0, eris.Errorf("%s has no %s", file, name)
 }
 
-// freeAddr returns a loopback address that was free a moment ago.
-func freeAddr() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("find a free port: %w", err)
-	}
-	defer ln.Close()
-	return ln.Addr().String(), nil
-}
-
 func await(limit time.Duration, done func() bool) bool {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(startPoll) {
 		if done() {
--- a/internal/measure/capacity/relay.go
+++ b/internal/measure/capacity/relay.go
@@ -7,6 +7,8 @@
 	"os"
 	"os/exec"
 
+	"waxwingpick/internal/loopback"
+
 	"github.com/rotisserie/eris"
 )
 
@@ -51,7 +53,7 @@
 }
 
 func spawnRelay(target string) (*relay, error) {
-	addr, err := freeAddr()
+	addr, err := loopback.Free()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/standin/server/options.go
+++ b/internal/standin/server/options.go
@@ -9,7 +9,6 @@
 )
 
 const (
-	freeLoopback       = "127.0.0.1:0"
 	defaultRestartTime = 20 * time.Millisecond
 )
 
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -16,6 +16,7 @@
 
 	"waxwingpick"
 	"waxwingpick/core/timer"
+	"waxwingpick/internal/loopback"
 )
 
 // FaultPrefix is the path prefix that no fault switch disturbs.
@@ -59,7 +60,7 @@
 func New(routes func(app *fiber.App), opts ...Option) (*Server, error) {
 	s := &Server{
 		cfg: settings{
-			addr:        freeLoopback,
+			addr:        loopback.AnyPort(),
 			restartTime: defaultRestartTime,
 		},
 		done: make(chan struct{}),
--- a/scripts/separate-processes.sh
+++ b/scripts/separate-processes.sh
@@ -68,10 +68,10 @@
 "$dir/waxwingpick" preset apply config/tanzplan.yaml
 
 for name in engine service; do
-  "$dir/waxwingpickd" sidecar -settings "$dir/$name.yaml" 2>"$dir/$name.log" &
+  "$dir/waxwingpickd" sidecar -settings "$dir/$name.yaml" >"$dir/$name.log" 2>&1 &
   pids+=("$!")
 done
-"$dir/waxwingpickd" entry -settings "$dir/entry.yaml" 2>"$dir/entry.log" &
+"$dir/waxwingpickd" entry -settings "$dir/entry.yaml" >"$dir/entry.log" 2>&1 &
 pids+=("$!")
 
 until curl -sf 127.0.0.1:17020/v1/models | grep -q '"stundenplan"'; do sleep 0.1; done
