logs: tell each request's way under the ID that its caller got

Asked for: on-call engineers have only logs and metrics, and a caller's complaint names a request.

Each answer carries X-Request-Id. Entry and sidecar gather the decisions on a request with the inputs that decided them, their ages and revisions, and write them at its end: whole where it was late, refused, retried, resumed or lost, else a share above 50 requests a second, chosen by the ID's hash so that the processes keep the same ones. Lines wait in bounded memory by class; writers never wait for a stalled reader, and what found no room is counted.

Found by the first logs and mended with it: a request that its only target refused as "deadline" was answered as "noTarget", as the retry's refusal hid the first.

Ruled out: lines at each decision at once (loses the beginning of a failed request under sampling), one bound for all lines (successes push out failures).

Not logged yet: requests that are not parsed; lost and regained dependencies other than the platform's list and the key-value watches.

--- a/core/routing/request.go
+++ b/core/routing/request.go
@@ -102,3 +102,20 @@
 	// ResultCancelled means that the caller left.
 	ResultCancelled
 )
+
+// String returns the result's name for logs.
+func (r Result) String() string {
+	switch r {
+	case ResultAnswered:
+		return "answered"
+	case ResultRefused:
+		return "refused"
+	case ResultFailed:
+		return "failed"
+	case ResultLeaving:
+		return "leaving"
+	case ResultCancelled:
+		return "cancelled"
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/core/trail/trail.go
@@ -0,0 +1,111 @@
+package trail
+
+import (
+	"sync"
+	"time"
+
+	"waxwingpick"
+)
+
+// maxDecisions bounds the decisions that are kept of one request: four attempts with a choice, an end, a resume and a
+// retry each, twice over.
+const maxDecisions = 32
+
+// Log starts the trails of one process's requests; it is safe for concurrent use.
+type Log struct {
+	out      waxwingpick.DecisionLog
+	instance waxwingpick.InstanceID
+	sampler  sampler
+}
+
+// New returns a log of an instance that writes ended trails to out; with none, nothing is kept.
+func New(out waxwingpick.DecisionLog, instance waxwingpick.InstanceID) *Log {
+	return &Log{
+		out:      out,
+		instance: instance,
+	}
+}
+
+// Begin returns the trail of a request that has just arrived.
+func (l *Log) Begin(id waxwingpick.RequestID) *Trail {
+	return &Trail{
+		log: l,
+		id:  id,
+	}
+}
+
+// Trail gathers the decisions on one request; it is safe for concurrent use.
+type Trail struct {
+	log *Log
+	id  waxwingpick.RequestID
+
+	mu      sync.Mutex
+	list    []waxwingpick.Decision
+	omitted int
+	notable bool
+	ended   bool
+}
+
+// Request returns the request's ID.
+func (t *Trail) Request() waxwingpick.RequestID {
+	return t.id
+}
+
+// Add keeps a decision of a request on its usual way.
+func (t *Trail) Add(d waxwingpick.Decision) {
+	t.add(d, false)
+}
+
+// Note keeps a decision for which the whole trail is kept: a refusal, a retry, a resume, a failure.
+func (t *Trail) Note(d waxwingpick.Decision) {
+	t.add(d, true)
+}
+
+func (t *Trail) add(d waxwingpick.Decision, notable bool) {
+	if t.log.out == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.notable = t.notable || notable
+	switch {
+	case t.ended:
+		// A late decision, as on a connection that outlived its request, has a line of its own.
+		t.write(waxwingpick.LaneKept, []waxwingpick.Decision{d})
+	case len(t.list) == maxDecisions:
+		t.omitted++
+	default:
+		t.list = append(t.list, d)
+	}
+}
+
+// End writes the trail, unless nothing of note happened and the request is not among the sampled.
+func (t *Trail) End(now time.Time) {
+	if t.log.out == nil {
+		return
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.ended {
+		return
+	}
+	t.ended = true
+	list := t.list
+	t.list = nil
+	switch {
+	case t.notable:
+		t.write(waxwingpick.LaneKept, list)
+	case t.log.sampler.keep(now, t.id):
+		t.write(waxwingpick.LaneRoutine, list)
+	}
+}
+
+func (t *Trail) write(lane waxwingpick.Lane, list []waxwingpick.Decision) {
+	t.log.out.Write(waxwingpick.Decisions{
+		Lane:     lane,
+		Instance: t.log.instance,
+		Request:  t.id,
+		List:     list,
+		Omitted:  t.omitted,
+	})
+}
--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -8,8 +8,8 @@
 	"os"
 
 	"github.com/google/subcommands"
-	"github.com/sirupsen/logrus"
 
+	"waxwingpick/io/jsonlines"
 	"waxwingpick/io/yaml"
 )
 
@@ -31,7 +31,7 @@
 	synopsis string
 	usage    string
 	// create wires the process; it does not start it.
-	create func(s S, out *outside, log *logrus.Logger) (process, error)
+	create func(s S, out *outside, lines *jsonlines.Log) (process, error)
 
 	path string
 }
@@ -69,7 +69,8 @@
 		return err
 	}
 	limitMemory(s.memory())
-	log, err := newLog(s.logLevel())
+	lines, err := newLog(s.logLevel())
+	defer closeLog(lines)
 	if err != nil {
 		return err
 	}
@@ -78,11 +79,11 @@
 		return err
 	}
 	defer out.Close()
-	p, err := c.create(s, out, log)
+	p, err := c.create(s, out, lines)
 	if err != nil {
 		return err
 	}
-	return run(p, log, func() (string, error) {
+	return run(p, lines.Logger(), func() (string, error) {
 		again, err := c.load()
 		return again.logLevel(), errors.Join(err, out.reload())
 	})
--- a/internal/daemon/entry.go
+++ b/internal/daemon/entry.go
@@ -5,10 +5,10 @@
 	"time"
 
 	"github.com/google/subcommands"
-	"github.com/sirupsen/logrus"
 
 	"waxwingpick"
 	"waxwingpick/internal/entry"
+	"waxwingpick/io/jsonlines"
 )
 
 const defaultMaxBody = 8 << 20
@@ -31,16 +31,17 @@
 	}
 }
 
-func newEntry(s EntrySettings, out *outside, log *logrus.Logger) (process, error) {
-	processes, err := out.credentials(s.TLS.section(s.identity()), log)
+func newEntry(s EntrySettings, out *outside, lines *jsonlines.Log) (process, error) {
+	processes, err := out.credentials(s.TLS.section(s.identity()), lines.Logger())
 	if err != nil {
 		return nil, err
 	}
-	callers, err := out.credentials(s.CallerTLS.section(), log)
+	callers, err := out.credentials(s.CallerTLS.section(), lines.Logger())
 	if err != nil {
 		return nil, err
 	}
 	return entry.New(entry.Options{
+		LogDropped:        lines.Dropped,
 		Fleet:             s.Fleet,
 		Instance:          waxwingpick.InstanceID(s.Instance),
 		Zone:              waxwingpick.AvailabilityZone(s.AvailabilityZone),
@@ -52,7 +53,8 @@
 		Credentials:       processes,
 		CallerCredentials: callers,
 		Timers:            out.timers,
-		Log:               log,
+		Log:               lines.Logger(),
+		Decisions:         lines,
 		LameDuck:          time.Duration(s.LameDuckSeconds) * time.Second,
 		MaxBody:           cmp.Or(s.MaxBodyBytes, defaultMaxBody),
 	})
--- a/internal/daemon/run.go
+++ b/internal/daemon/run.go
@@ -9,9 +9,15 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"waxwingpick/io/jsonlines"
 )
 
-const dialTimeout = 200 * time.Millisecond
+const (
+	dialTimeout = 200 * time.Millisecond
+	// lastLinesWait bounds the wait for the reader of the log at a process's end.
+	lastLinesWait = time.Second
+)
 
 // process is a part that runs until it is stopped.
 type process interface {
@@ -44,12 +50,17 @@
 	log.WithField("level", log.GetLevel().String()).Info("settings reloaded: log level, certificates")
 }
 
-// newLog returns a logger of JSON lines on standard output.
-func newLog(level string) (*logrus.Logger, error) {
-	log := logrus.New()
-	log.SetFormatter(&logrus.JSONFormatter{})
-	log.SetOutput(os.Stdout)
-	return log, setLevel(log, level)
+// newLog returns a log of JSON lines on standard output.
+func newLog(level string) (*jsonlines.Log, error) {
+	lines := jsonlines.New(os.Stdout)
+	return lines, setLevel(lines.Logger(), level)
+}
+
+// closeLog writes the last lines, unless whoever reads them has stalled.
+func closeLog(lines *jsonlines.Log) {
+	ctx, cancel := context.WithTimeout(context.Background(), lastLinesWait)
+	defer cancel()
+	lines.Close(ctx)
 }
 
 // setLevel sets the log's level; empty means info.
--- a/internal/daemon/sidecar.go
+++ b/internal/daemon/sidecar.go
@@ -5,12 +5,12 @@
 	"fmt"
 
 	"github.com/google/subcommands"
-	"github.com/sirupsen/logrus"
 
 	"waxwingpick"
 	"waxwingpick/core/config"
 	"waxwingpick/internal/sidecar"
 	"waxwingpick/io/engine"
+	"waxwingpick/io/jsonlines"
 	"waxwingpick/io/plain"
 	"waxwingpick/io/tcp"
 )
@@ -33,12 +33,12 @@
 	}
 }
 
-func newSidecar(s SidecarSettings, out *outside, log *logrus.Logger) (process, error) {
-	o, err := sidecarOptions(s, out.timers, log)
+func newSidecar(s SidecarSettings, out *outside, lines *jsonlines.Log) (process, error) {
+	o, err := sidecarOptions(s, out.timers, lines)
 	if err != nil {
 		return nil, err
 	}
-	if o.Credentials, err = out.credentials(s.TLS.section(s.identity()), log); err != nil {
+	if o.Credentials, err = out.credentials(s.TLS.section(s.identity()), lines.Logger()); err != nil {
 		return nil, err
 	}
 	o.KeyValue = out.kv
@@ -47,7 +47,7 @@
 	return sidecar.New(o)
 }
 
-func sidecarOptions(s SidecarSettings, timers waxwingpick.Timers, log *logrus.Logger) (sidecar.Options, error) {
+func sidecarOptions(s SidecarSettings, timers waxwingpick.Timers, lines *jsonlines.Log) (sidecar.Options, error) {
 	o := sidecar.Options{
 		Fleet:            s.Fleet,
 		Instance:         waxwingpick.InstanceID(s.Instance),
@@ -57,7 +57,9 @@
 		Control:          s.Control,
 		Data:             s.Data,
 		Timers:           timers,
-		Log:              log,
+		Log:              lines.Logger(),
+		Decisions:        lines,
+		LogDropped:       lines.Dropped,
 		MaxBody:          cmp.Or(s.MaxBodyBytes, defaultMaxBody),
 		OrderAnswerBytes: s.OrderAnswerBytes,
 		MaxConcurrent:    s.MaxConcurrent,
--- a/internal/entry/attempts.go
+++ b/internal/entry/attempts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/google/uuid"
@@ -33,6 +32,8 @@
 	attemptID string
 	made      int
 	tried     []waxwingpick.TargetID
+	// last is why the latest attempt ended without a whole answer; nil before it did.
+	last *waxwingpick.Refusal
 	// source is the leaving target that holds the answer's KV cache; nil where none does.
 	source *sidecar.MoveSource
 	// moving says that a planned move took the answer off its target and no other target has taken it yet.
@@ -55,12 +56,13 @@
 func (a *attempts) run(ctx context.Context) {
 	for {
 		target, err := a.choose()
+		a.process.picked(a.trail, target, err)
 		if err != nil && a.mayWait(refusalOf(err)) && a.process.pause(ctx, targetWait) {
 			a.tried = nil
 			continue
 		}
 		if err != nil {
-			a.fail(refusalOf(err))
+			a.fail(a.lastOr(refusalOf(err)))
 			return
 		}
 		a.made++
@@ -74,6 +76,14 @@
 	}
 }
 
+// lastOr returns why the latest attempt failed where a new one only lacks a further target, which says less to the caller.
+func (a *attempts) lastOr(refusal *waxwingpick.Refusal) *waxwingpick.Refusal {
+	if refusal.Reason == waxwingpick.ReasonNoTarget && a.last != nil {
+		return a.last
+	}
+	return refusal
+}
+
 // mayWait reports whether an answer that has begun waits for a target to come back rather than fail.
 func (a *attempts) mayWait(refusal *waxwingpick.Refusal) bool {
 	return refusal.Reason == waxwingpick.ReasonNoTarget && a.begun()
@@ -155,6 +165,7 @@
 			return end
 		}
 		attempt.Offset = end.step.Offset
+		a.process.resumed(a.trail, attempt, end.err)
 		attempt.RemainingMillis = a.remaining().Milliseconds()
 		frames, err = a.process.data.Resume(ctx, target.instance.Data, attempt)
 	}
@@ -214,12 +225,14 @@
 		a.begin()
 		return a.process.pause(ctx, targetWait)
 	}
+	a.last = end.refusal
 	verdict := a.process.decide(retry.Attempt{
 		Number:     a.made,
 		Refusal:    end.refusal,
 		Repeatable: true,
 		Deadline:   a.class.Deadline,
 	})
+	a.process.judged(a.trail, a.made, end.refusal, verdict)
 	if !verdict.Retry {
 		a.fail(verdict.Refusal)
 		return false
@@ -241,6 +254,7 @@
 func (a *attempts) describe(target chosen) sidecar.Attempt {
 	return sidecar.Attempt{
 		ID:              a.attemptID,
+		Request:         a.trail.Request(),
 		Service:         target.instance.Service,
 		Target:          target.choice.Target,
 		Workspace:       a.call.Caller.Workspace,
@@ -266,8 +280,7 @@
 }
 
 func refusalOf(err error) *waxwingpick.Refusal {
-	var refusal *waxwingpick.Refusal
-	if errors.As(err, &refusal) {
+	if refusal := refusalIn(err); refusal != nil {
 		return refusal
 	}
 	return waxwingpick.Unknown(waxwingpick.ReasonTargetLost, err.Error())
--- a/internal/entry/conclusion.go
+++ b/internal/entry/conclusion.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"github.com/sirupsen/logrus"
-
 	"waxwingpick"
 	"waxwingpick/core/routing"
 	"waxwingpick/io/sidecar"
@@ -12,16 +10,12 @@
 
 // conclude tells the router how an attempt ended and frees what a lost one may still hold.
 func (a *attempts) conclude(ctx context.Context, target chosen, attempt sidecar.Attempt, end attemptEnd) {
-	a.targets.doneLegs(a.process.timers.Now(), target, resultOf(ctx, end))
+	result := resultOf(ctx, end)
+	a.targets.doneLegs(a.process.timers.Now(), target, result)
+	a.process.attempted(a.trail, attempt.ID, attempt.Target, result, end.err)
 	if end.err == nil || end.refusal != nil && isolated(end.refusal) {
 		return
 	}
-	a.process.log.WithFields(logrus.Fields{
-		"attempt":   attempt.ID,
-		"target":    attempt.Target,
-		"workspace": attempt.Workspace,
-		"error":     end.err.Error(),
-	}).Info("attempt ended without a whole answer")
 	if end.refusal != nil && end.refusal.Reason == waxwingpick.ReasonCrashSuspect {
 		// The sidecar knows of a crash that this entry has not heard of.
 		a.process.learnCrash(a.targets, target.instance)
--- a/internal/entry/fleet.go
+++ b/internal/entry/fleet.go
@@ -62,6 +62,8 @@
 	choice      routing.Choice
 	instance    waxwingpick.Instance
 	incarnation string
+	// reportAge is how old the report of the target is that the choice rests on; the router counts what was sent since.
+	reportAge time.Duration
 	// prefill is the target of the first leg of a request on two engines; nil where one serves both.
 	prefill *chosen
 }
--- a/internal/entry/generate.go
+++ b/internal/entry/generate.go
@@ -4,12 +4,11 @@
 	"context"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/rotisserie/eris"
-	"github.com/sirupsen/logrus"
 
 	"waxwingpick"
 	"waxwingpick/core/classify"
+	"waxwingpick/core/trail"
 	"waxwingpick/io/openai"
 )
 
@@ -41,8 +40,24 @@
 
 // Generate starts a model request and returns once its first chunk is there or it was given up.
 func (p *Process) Generate(ctx context.Context, call openai.ModelCall) (openai.Answer, error) {
+	t := p.arrived(call.Caller)
+	g, err := p.generation(call, t)
+	if err != nil {
+		p.turnedAway(t, call.Caller, refusalOf(err))
+		return nil, err
+	}
+	p.launch(ctx, g, g.id)
+	if err := g.wait(); err != nil {
+		g.Close()
+		return nil, err
+	}
+	return g, nil
+}
+
+// generation takes a model request in, or says why not.
+func (p *Process) generation(call openai.ModelCall, t *trail.Trail) (*generation, error) {
 	now := p.timers.Now()
-	id := uuid.NewString()
+	id := string(t.Request())
 	if err := p.enter(now, id); err != nil {
 		return nil, err
 	}
@@ -60,17 +75,13 @@
 		p.overRate(targets.service, call.Caller.Workspace, class.Class, err)
 		return nil, err
 	}
-	g, err := newGeneration(p, call, targets, class, id)
+	g, err := newGeneration(p, call, targets, class, t)
 	if err != nil {
 		p.gate.Leave(id)
 		return nil, err
 	}
+	p.accepted(t, now, call.Caller, class)
 	p.countRequest(now)
-	p.launch(ctx, g, id)
-	if err := g.wait(); err != nil {
-		g.Close()
-		return nil, err
-	}
 	return g, nil
 }
 
@@ -115,7 +126,7 @@
 func (p *Process) completed(g *generation, c completion) {
 	p.gate.Leave(g.id)
 	now := p.timers.Now()
-	p.outcomes.record(now, ended{
+	e := ended{
 		service:   g.targets.service,
 		class:     g.class.Class,
 		preset:    g.preset,
@@ -124,33 +135,21 @@
 		took:      now.Sub(g.started),
 		late:      now.After(g.class.Deadline),
 		err:       c.err(),
-	})
-	fields := logrus.Fields{
-		"workspace": g.call.Caller.Workspace,
-		"class":     g.class.Class.String(),
-		"model":     g.call.Request.Model(),
-		"chunks":    c.chunks,
-		"millis":    now.Sub(g.started).Milliseconds(),
 	}
+	p.outcomes.record(now, e)
+	p.concluded(g.trail, e, waxwingpick.In("model", g.call.Request.Model()), waxwingpick.In("chunks", c.chunks))
 	if c.whole {
 		p.outcomes.metrics.FirstToken(g.class.Class, c.first.Sub(g.started))
 		p.countAnswer()
 		p.absolve(g.fingerprint)
 		p.classifier.Observe(g.call.Caller.Workspace, g.class.Class, len(g.call.Request.Prompt()), c.prompt, c.chunks)
-		p.log.WithFields(fields).Debug("request answered")
-		return
 	}
-	if c.refusal != nil {
-		fields["reason"] = c.refusal.Reason
-		fields["outcome"] = c.refusal.Outcome
-	}
-	p.log.WithFields(fields).Info("request not answered")
 }
 
 // called records the end of a request to a plain service.
 func (p *Process) called(c *serviceCall, started time.Time, err error) {
 	now := p.timers.Now()
-	p.outcomes.record(now, ended{
+	e := ended{
 		service:   c.call.Service,
 		class:     c.class.Class,
 		preset:    p.preset().Name,
@@ -159,19 +158,11 @@
 		took:      now.Sub(started),
 		late:      now.After(c.class.Deadline),
 		err:       err,
-	})
-	fields := logrus.Fields{
-		"workspace": c.call.Caller.Workspace,
-		"service":   c.call.Service,
-		"method":    c.call.Request.Method,
-		"millis":    now.Sub(started).Milliseconds(),
 	}
+	p.outcomes.record(now, e)
+	p.concluded(c.trail, e, waxwingpick.In("service", c.call.Service), waxwingpick.In("method", c.call.Request.Method))
 	if err == nil {
 		p.countAnswer()
 		p.absolve(c.fingerprint)
-		p.log.WithFields(fields).Debug("call answered")
-		return
 	}
-	fields["error"] = err.Error()
-	p.log.WithFields(fields).Info("call not answered")
 }
--- a/internal/entry/generation.go
+++ b/internal/entry/generation.go
@@ -13,6 +13,7 @@
 	"waxwingpick/core/classify"
 	"waxwingpick/core/stream"
 	"waxwingpick/core/suspect"
+	"waxwingpick/core/trail"
 	"waxwingpick/io/openai"
 )
 
@@ -29,6 +30,7 @@
 // the assembly, and the caller's reader takes chunks from it.
 type generation struct {
 	id          string
+	trail       *trail.Trail
 	process     *Process
 	call        openai.ModelCall
 	targets     *serviceTargets
@@ -57,12 +59,12 @@
 	promptTokens int
 }
 
-func newGeneration(p *Process, call openai.ModelCall, targets *serviceTargets, class classify.Result, id string) (*generation, error) {
+func newGeneration(p *Process, call openai.ModelCall, targets *serviceTargets, class classify.Result, t *trail.Trail) (*generation, error) {
 	body, err := call.Request.EngineBody(openai.Delivered{})
 	if err != nil {
 		return nil, err
 	}
-	assembly, err := stream.New(id,
+	assembly, err := stream.New(string(t.Request()),
 		stream.WithBuffer(answerBuffer),
 		stream.WithContinuation(continuedAnswer),
 		stream.WithRepeatable(),
@@ -71,7 +73,8 @@
 		return nil, fmt.Errorf("create answer: %w", err)
 	}
 	g := &generation{
-		id:          id,
+		id:          string(t.Request()),
+		trail:       t,
 		process:     p,
 		call:        call,
 		targets:     targets,
--- a/internal/entry/legs.go
+++ b/internal/entry/legs.go
@@ -41,9 +41,11 @@
 	if err != nil {
 		return chosen{}, err
 	}
+	target := s.targets[choice.Target]
 	return chosen{
 		choice:      s.router.Sent(now, choice),
-		instance:    s.targets[choice.Target].instance,
+		instance:    target.instance,
+		reportAge:   now.Sub(target.reportedAt),
 		incarnation: s.incarnations[choice.Target],
 	}, nil
 }
--- a/internal/entry/options.go
+++ b/internal/entry/options.go
@@ -35,6 +35,10 @@
 	// Policy decides the roles and models of engines; nil takes the role policy of the presets.
 	Policy authority.Policy
 	Log    *logrus.Logger
+	// Decisions takes what is decided about requests; nil keeps none of it.
+	Decisions waxwingpick.DecisionLog
+	// LogDropped returns how many log lines of a class found no room; nil where nothing is counted.
+	LogDropped func(lane waxwingpick.Lane) uint64
 	// LameDuck is how long a stopping entry still takes requests, until its balancer has seen that it is not ready.
 	LameDuck time.Duration
 	// MaxBody bounds request bodies, in bytes.
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -15,6 +15,7 @@
 	"waxwingpick/core/retry"
 	"waxwingpick/core/routing"
 	"waxwingpick/core/suspect"
+	"waxwingpick/core/trail"
 	"waxwingpick/io/openai"
 	"waxwingpick/io/sidecar"
 )
@@ -27,6 +28,7 @@
 // serviceCall is one request to a plain service on its way to an answer.
 type serviceCall struct {
 	process     *Process
+	trail       *trail.Trail
 	call        openai.ServiceCall
 	targets     *serviceTargets
 	class       classify.Result
@@ -39,18 +41,23 @@
 // Call sends a request to a plain service and returns the whole answer.
 func (p *Process) Call(ctx context.Context, call openai.ServiceCall) (waxwingpick.CallResponse, error) {
 	now := p.timers.Now()
-	id := uuid.NewString()
+	t := p.arrived(call.Caller)
+	id := string(t.Request())
 	if err := p.enter(now, id); err != nil {
-		return waxwingpick.CallResponse{}, unclaimedRefusal(call, refusalOf(err))
+		refusal := unclaimedRefusal(call, refusalOf(err))
+		p.turnedAway(t, call.Caller, refusal)
+		return waxwingpick.CallResponse{}, refusal
 	}
 	defer p.gate.Leave(id)
 	targets := p.fleet.service(call.Service)
 	service, known := p.serviceConfig(call.Service)
 	if targets == nil || !known || service.Kind != config.KindPlain {
-		refusal := waxwingpick.NotRun(waxwingpick.ReasonWrongModel, 0, "no plain service "+string(call.Service))
-		return waxwingpick.CallResponse{}, unclaimedRefusal(call, refusal)
+		refusal := unclaimedRefusal(call, waxwingpick.NotRun(waxwingpick.ReasonWrongModel, 0, "no plain service "+string(call.Service)))
+		p.turnedAway(t, call.Caller, refusal)
+		return waxwingpick.CallResponse{}, refusal
 	}
 	c := &serviceCall{
+		trail:      t,
 		process:    p,
 		call:       call,
 		targets:    targets,
@@ -62,6 +69,7 @@
 		BodyBytes:     len(call.Request.Body),
 		NotRepeatable: !c.repeatable,
 	})
+	p.accepted(t, now, call.Caller, c.class)
 	if err := p.checkQuota(now, call.Caller.Workspace); err != nil {
 		refusal := unclaimedRefusal(call, refusalOf(err))
 		p.called(c, now, refusal)
@@ -132,6 +140,7 @@
 			Repeatable: true,
 			Deadline:   c.class.Deadline,
 		})
+		c.process.judged(c.trail, made, refusal, verdict)
 		if !verdict.Retry {
 			return waxwingpick.CallResponse{}, finalRefusal(verdict.Refusal, mayHaveRun)
 		}
@@ -163,7 +172,9 @@
 	if err := c.process.isolate(&req, c.fingerprint, c.targets); err != nil {
 		return chosen{}, err
 	}
-	return c.targets.choose(now, req)
+	target, err := c.targets.choose(now, req)
+	c.process.picked(c.trail, target, err)
+	return target, err
 }
 
 // chooseOrder picks a target for the ledger and names the incarnation that may run the attempt.
@@ -195,6 +206,7 @@
 	c.target = target.choice.Target
 	result, err := c.process.data.Call(ctx, target.instance.Data, sidecar.Attempt{
 		ID:              id,
+		Request:         c.trail.Request(),
 		Service:         c.call.Service,
 		Target:          target.choice.Target,
 		Workspace:       c.call.Caller.Workspace,
@@ -217,8 +229,10 @@
 	if err == nil && result.Refusal != nil {
 		err = result.Refusal
 	}
+	outcome := callResult(err)
+	c.process.attempted(c.trail, id, target.instance.Target, outcome, err)
 	if target.choice.Target != "" {
-		c.targets.done(c.process.timers.Now(), target, callResult(err))
+		c.targets.done(c.process.timers.Now(), target, outcome)
 	}
 	return result, err
 }
--- a/internal/entry/outcomes.go
+++ b/internal/entry/outcomes.go
@@ -50,8 +50,7 @@
 
 func (o *outcomes) record(now time.Time, e ended) {
 	o.metrics.Request(e.service, e.class, resultOfEnd(e), e.took)
-	var refusal *waxwingpick.Refusal
-	if errors.As(e.err, &refusal) {
+	if refusal := refusalIn(e.err); refusal != nil {
 		o.metrics.Refused(refusal)
 	}
 	o.burn.Record(now, burn.Event{
@@ -63,14 +62,23 @@
 	})
 }
 
-func resultOfEnd(e ended) prometheus.Result {
+// refusalIn returns the refusal that an error holds; nil where there is none.
+func refusalIn(err error) *waxwingpick.Refusal {
 	var refusal *waxwingpick.Refusal
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return nil
+}
+
+func resultOfEnd(e ended) prometheus.Result {
+	refusal := refusalIn(e.err)
 	switch {
 	case e.err == nil && e.late:
 		return prometheus.ResultLate
 	case e.err == nil:
 		return prometheus.ResultAnswered
-	case errors.As(e.err, &refusal) && refusal.Outcome == waxwingpick.OutcomeNotRun:
+	case refusal != nil && refusal.Outcome == waxwingpick.OutcomeNotRun:
 		return prometheus.ResultNotRun
 	}
 	return prometheus.ResultUnknown
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -21,6 +21,7 @@
 	"waxwingpick/core/retry"
 	"waxwingpick/core/suspect"
 	"waxwingpick/core/timer"
+	"waxwingpick/core/trail"
 	"waxwingpick/internal/authority"
 	"waxwingpick/internal/instancelist"
 	"waxwingpick/internal/records"
@@ -47,6 +48,7 @@
 	fleet      *fleet
 	classifier *classify.Classifier
 	outcomes   *outcomes
+	trails     *trail.Log
 	suspects   *suspect.Set
 	quotas     *quotas
 	gate       *drain.Gate
@@ -88,6 +90,7 @@
 		log:        o.Log.WithField("instance", o.Instance),
 		fleet:      newFleet(o.Instance, o.Zone),
 		probeSlots: make(chan struct{}, probesAtOnce),
+		trails:     trail.New(o.Decisions, o.Instance),
 		control:    jsonrpc.NewServer(o.Fleet, jsonrpc.ServeWith(o.Credentials)),
 	}
 	p.lifecycle, p.end = context.WithCancel(context.Background())
@@ -127,6 +130,7 @@
 		return err
 	}
 	p.outcomes.metrics.QuotaWorkspaces(p.quotas.held)
+	p.outcomes.metrics.LogDropped(p.options.LogDropped)
 	if p.gate, err = drain.New(drain.WithLameDuck(p.options.LameDuck)); err != nil {
 		return fmt.Errorf("create drain gate: %w", err)
 	}
--- a/internal/sidecar/call.go
+++ b/internal/sidecar/call.go
@@ -36,18 +36,35 @@
 	if p.plain == nil {
 		return waxwingpick.CallResponse{}, waxwingpick.NotRun(waxwingpick.ReasonNoTarget, 0, "target is no plain service")
 	}
-	if refusal := p.admitOrder(a); refusal != nil {
+	t, came := p.arrived(a), p.arrival()
+	refusal := p.enterCall(ctx, a)
+	p.admitted(t, a, came, refusal)
+	if refusal != nil {
 		return waxwingpick.CallResponse{}, refusal
 	}
+	resp, refusal := p.await(ctx, a, body)
+	if refusal != nil {
+		p.ran(t, a, outcomeBroken, refusal)
+		return resp, refusal
+	}
+	p.ran(t, a, outcomeAnswered, nil)
+	return resp, nil
+}
+
+// enterCall takes a call in, or says why it does not run.
+func (p *Process) enterCall(ctx context.Context, a sidecar.Attempt) *waxwingpick.Refusal {
+	if refusal := p.admitOrder(a); refusal != nil {
+		return refusal
+	}
 	if refusal := p.admitCall(ctx, a); refusal != nil {
 		p.guard.Refuse(a.ID)
-		return waxwingpick.CallResponse{}, refusal
+		return refusal
 	}
 	if !a.Repeatable && !p.guard.Start(a.ID) {
 		p.leaveCall(a.ID)
-		return waxwingpick.CallResponse{}, waxwingpick.NotRun(waxwingpick.ReasonBarred, 0, "attempt was barred while it waited")
+		return waxwingpick.NotRun(waxwingpick.ReasonBarred, 0, "attempt was barred while it waited")
 	}
-	return p.await(ctx, a, body)
+	return nil
 }
 
 // admitOrder checks that an attempt that may not be repeated runs for the first time.
--- a/internal/sidecar/generate.go
+++ b/internal/sidecar/generate.go
@@ -10,6 +10,7 @@
 
 	"waxwingpick"
 	"waxwingpick/core/admission"
+	"waxwingpick/core/trail"
 	"waxwingpick/io/sidecar"
 )
 
@@ -24,20 +25,24 @@
 
 // Generate runs a model request and sends its frames until the stream ends.
 func (p *Process) Generate(ctx context.Context, a sidecar.Attempt, body []byte, send sidecar.SendFunc) {
+	t, came := p.arrived(a), p.arrival()
 	choice := p.choose(ctx, a)
-	if refusal := p.enter(ctx, a, computedElsewhere(a, choice)); refusal != nil {
+	refusal := p.enter(ctx, a, computedElsewhere(a, choice))
+	p.admitted(t, a, came, refusal)
+	if refusal != nil {
 		p.refuse(a, refusal, send)
 		return
 	}
 	turn := p.streams.take(a.ID)
 	stream, err := p.begin(ctx, a, choice, body)
 	if err != nil {
+		p.ran(t, a, outcomeBroken, err)
 		// What was in flight is asked for before it is let out.
 		p.failStart(a, err, send)
 		p.release(a.ID, turn, 0)
 		return
 	}
-	p.forward(ctx, a, turn, stream, send)
+	p.forward(ctx, a, turn, stream, send, t)
 }
 
 // Resume sends the frames of a stream that the engine still holds, from the attempt's offset.
@@ -45,18 +50,16 @@
 	turn := p.streams.take(a.ID)
 	// An entry that goes on here has not heard of a move, which is tried again later.
 	p.gate.Moved(p.timers.Now(), a.ID, false)
+	t := p.arrived(a)
+	t.Note(waxwingpick.ActionResume.Of(p.timers.Now(), string(p.target), waxwingpick.In("attempt", a.ID), waxwingpick.In("offset", a.Offset)))
 	stream, err := p.engine.Resume(ctx, a.ID, a.Offset)
 	if err != nil {
 		p.release(a.ID, turn, 0)
-		p.log.WithFields(logrus.Fields{
-			"attempt": a.ID,
-			"offset":  a.Offset,
-			"error":   err.Error(),
-		}).Info("stream can't be resumed")
+		p.ran(t, a, outcomeBroken, err)
 		p.sendBroken(a, send)
 		return
 	}
-	p.forward(ctx, a, turn, stream, send)
+	p.forward(ctx, a, turn, stream, send, t)
 }
 
 // Cancel ends an attempt's stream and forgets it.
@@ -105,8 +108,14 @@
 	return waxwingpick.NotRun(waxwingpick.ReasonWrongModel, retryAfterModel, fmt.Sprintf("engine serves %q", active.Model))
 }
 
-// forward sends a stream's events and survives broken engine connections.
-func (p *Process) forward(ctx context.Context, a sidecar.Attempt, turn int, stream waxwingpick.EventStream, send sidecar.SendFunc) {
+// forward sends a stream's events, survives broken engine connections and ends the attempt's trail.
+func (p *Process) forward(ctx context.Context, a sidecar.Attempt, turn int, stream waxwingpick.EventStream, send sidecar.SendFunc, t *trail.Trail) {
+	outcome, err := p.forwardAll(ctx, a, turn, stream, send, t)
+	p.ran(t, a, outcome, err)
+}
+
+// forwardAll returns how the stream ended here.
+func (p *Process) forwardAll(ctx context.Context, a sidecar.Attempt, turn int, stream waxwingpick.EventStream, send sidecar.SendFunc, t *trail.Trail) (string, error) {
 	next := a.Offset
 	mover := p.movers.add(a.ID)
 	defer p.movers.remove(a.ID, mover)
@@ -114,31 +123,33 @@
 		if !mover.reads(stream) {
 			p.closeStream(stream)
 			p.handOver(a, turn, int(next), send)
-			return
+			return outcomeMoved, nil
 		}
 		sent, err := p.copyEvents(a, stream, next, send)
 		p.closeStream(stream)
 		next += sent
 		if err != nil && mover.wasMoved() {
 			p.handOver(a, turn, int(next), send)
-			return
+			return outcomeMoved, nil
 		}
 		if err == nil {
 			p.release(a.ID, turn, int(next))
-			return
+			return outcomeAnswered, nil
 		}
 		if errors.Is(err, errEntryGone) || ctx.Err() != nil {
 			p.awaitResume(a.ID, turn, int(next))
-			return
+			return outcomeNoEntry, err
 		}
 		if sent > 0 {
 			resumes = 0
 		}
+		t.Note(waxwingpick.ActionResume.Of(p.timers.Now(), string(p.target), waxwingpick.In("attempt", a.ID),
+			waxwingpick.In("offset", next), waxwingpick.In("error", err.Error())))
 		stream, err = p.reconnect(ctx, a, next, resumes)
 		if err != nil {
 			p.release(a.ID, turn, 0)
 			p.sendBroken(a, send)
-			return
+			return outcomeBroken, err
 		}
 	}
 }
--- a/internal/sidecar/options.go
+++ b/internal/sidecar/options.go
@@ -35,6 +35,10 @@
 	Credentials *mtls.Credentials
 	Timers      waxwingpick.Timers
 	Log         *logrus.Logger
+	// Decisions takes what is decided about attempts; nil keeps none of it.
+	Decisions waxwingpick.DecisionLog
+	// LogDropped returns how many log lines of a class found no room; nil where nothing is counted.
+	LogDropped func(lane waxwingpick.Lane) uint64
 	// MaxBody bounds request bodies, in bytes.
 	MaxBody int
 	// OrderAnswerBytes bounds the answers of orders that are kept for resends; zero takes the default.
--- a/internal/sidecar/process.go
+++ b/internal/sidecar/process.go
@@ -21,6 +21,7 @@
 	"waxwingpick/core/ledger"
 	"waxwingpick/core/suspect"
 	"waxwingpick/core/timer"
+	"waxwingpick/core/trail"
 	"waxwingpick/internal/instancelist"
 	"waxwingpick/internal/records"
 	"waxwingpick/io/jsonrpc"
@@ -59,6 +60,7 @@
 	exports  *transfers
 	imports  *transfers
 	guard    *ledger.Guard
+	trails   *trail.Log
 	gate     *drain.Gate
 	metrics  *prometheus.Metrics
 	kv       waxwingpick.KeyValue
@@ -99,6 +101,7 @@
 		timers:  o.Timers,
 		streams: newStreams(),
 		movers:  newMovers(),
+		trails:  trail.New(o.Decisions, o.Instance),
 		log: o.Log.WithFields(logrus.Fields{
 			"instance": o.Instance,
 			"target":   o.Target,
@@ -163,6 +166,7 @@
 		return fmt.Errorf("create runtime metrics: %w", err)
 	}
 	p.metrics.OrderAnswers(p.guard.AnswerBytes)
+	p.metrics.LogDropped(p.options.LogDropped)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	p.budget, err = callbudget.New(p.options.KeyValue, p.timers, random)
 	if err != nil {
--- a/internal/standin/ca/authority.go
+++ b/internal/standin/ca/authority.go
@@ -20,6 +20,7 @@
 	"github.com/sirupsen/logrus"
 
 	"waxwingpick"
+	"waxwingpick/internal/loopback"
 	"waxwingpick/io/mtls"
 )
 
@@ -41,11 +42,11 @@
 	NotAfter time.Time
 }
 
-// HolderOf returns the holder with the identity and the loopback address.
+// HolderOf returns the holder with the identity and the loopback addresses that tests listen on.
 func HolderOf(identity mtls.Identity) Holder {
 	return Holder{
 		URIs: []*url.URL{identity.URI()},
-		IPs:  []net.IP{net.IPv4(127, 0, 0, 1)},
+		IPs:  []net.IP{net.IPv4(127, 0, 0, 1), net.ParseIP(loopback.Host())},
 	}
 }
 
--- /dev/null
+++ b/io/jsonlines/log_test.go
@@ -0,0 +1,140 @@
+package jsonlines_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+
+	"waxwingpick"
+	"waxwingpick/io/jsonlines"
+)
+
+// stalled is a stream that takes nothing until it is opened.
+type stalled struct {
+	open chan struct{}
+	mu   sync.Mutex
+	buf  bytes.Buffer
+}
+
+func newStalled() *stalled {
+	return &stalled{
+		open: make(chan struct{}),
+	}
+}
+
+func (s *stalled) Write(line []byte) (int, error) {
+	<-s.open
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.buf.Write(line)
+}
+
+// lines returns what was written, a map a line.
+func (s *stalled) lines(t *testing.T) []map[string]any {
+	t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var all []map[string]any
+	for scan := bufio.NewScanner(&s.buf); scan.Scan(); {
+		var line map[string]any
+		require.NoError(t, json.Unmarshal(scan.Bytes(), &line), scan.Text())
+		all = append(all, line)
+	}
+	return all
+}
+
+func decisions(lane waxwingpick.Lane, id string) waxwingpick.Decisions {
+	return waxwingpick.Decisions{
+		Lane:     lane,
+		Instance: "entry-0",
+		Request:  waxwingpick.RequestID(id),
+		List: []waxwingpick.Decision{
+			waxwingpick.ActionChoose.Of(time.UnixMilli(1_800_000_000_123).UTC(), "engine-3",
+				waxwingpick.InMillis("reportAge", 80*time.Millisecond), waxwingpick.In("planRevision", 14)),
+		},
+	}
+}
+
+func TestDecisionsAreJSONLines(t *testing.T) {
+	out := newStalled()
+	close(out.open)
+	l := jsonlines.New(out)
+	l.Write(decisions(waxwingpick.LaneKept, "a"))
+	l.Logger().WithField("listen", "10.0.0.1:80").Info("entry serves")
+	l.Close(t.Context())
+	lines := out.lines(t)
+	require.Len(t, lines, 2)
+	require.Equal(t, map[string]any{
+		"time":     "2027-01-15T08:00:00.123Z",
+		"level":    "info",
+		"msg":      "decision",
+		"instance": "entry-0",
+		"request":  "a",
+		"action":   "choose",
+		"outcome":  "engine-3",
+		"inputs": map[string]any{
+			"reportAgeMillis": 80.0,
+			"planRevision":    14.0,
+		},
+	}, lines[0])
+	require.Equal(t, "entry serves", lines[1]["msg"])
+}
+
+// TestWritersNeverWait fills both lanes of a stalled stream from many threads: no writer waits, the lines of failures
+// that fit survive although the routine ones came first, and what was dropped is counted and told.
+func TestWritersNeverWait(t *testing.T) {
+	const writers, each, failures = 8, 2000, 50
+	out := newStalled()
+	l := jsonlines.New(out, jsonlines.Bytes(waxwingpick.LaneRoutine, 64<<10), jsonlines.Bytes(waxwingpick.LaneKept, 64<<10))
+	var wg conc.WaitGroup
+	for w := range writers {
+		wg.Go(func() {
+			for i := range each {
+				l.Write(decisions(waxwingpick.LaneRoutine, fmt.Sprintf("routine-%d-%d", w, i)))
+			}
+		})
+	}
+	wg.Wait() // Ends while the stream takes nothing.
+	for i := range failures {
+		l.Write(decisions(waxwingpick.LaneKept, fmt.Sprintf("failed-%d", i)))
+	}
+	require.Zero(t, l.Dropped(waxwingpick.LaneKept))
+	dropped := l.Dropped(waxwingpick.LaneRoutine)
+	require.Positive(t, dropped)
+	close(out.open)
+	l.Close(t.Context())
+	kept, routine, told := 0, 0, 0.0
+	for _, line := range out.lines(t) {
+		request, _ := line["request"].(string)
+		switch {
+		case line["msg"] == "log lines dropped since the start":
+			told = line["routine"].(float64)
+		case len(request) > 6 && request[:6] == "failed":
+			kept++
+		default:
+			routine++
+		}
+	}
+	require.Equal(t, failures, kept)
+	require.Equal(t, writers*each, routine+int(dropped))
+	require.Equal(t, float64(dropped), told)
+}
+
+// TestCloseGivesUpOnAStalledStream ends a process whose lines nobody reads.
+func TestCloseGivesUpOnAStalledStream(t *testing.T) {
+	out := newStalled()
+	defer close(out.open)
+	l := jsonlines.New(out)
+	l.Logger().Info("entry stopped")
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	l.Close(ctx)
+}
--- a/io/openai/backend.go
+++ b/io/openai/backend.go
@@ -8,6 +8,9 @@
 
 // Caller is what the headers of a request say about it.
 type Caller struct {
+	// RequestID is made here and told to the caller with every answer; OwnID is the caller's own, empty where it names none.
+	RequestID waxwingpick.RequestID
+	OwnID     string
 	Workspace waxwingpick.WorkspaceID
 	// Priority is the RFC 9218 header and Prefer the RFC 7240 header; empty where absent.
 	Priority       string
--- a/io/openai/openai_test.go
+++ b/io/openai/openai_test.go
@@ -276,11 +276,16 @@
 	b := &backend{}
 	url := start(t, b)
 	resp, body := post(t, url+"/services/app/bookings?day=2", `{"a":1}`,
-		"Idempotency-Key", "k", "OpenAI-Project", "studio", "Prefer", "wait=3", "Priority", "u=1", "Traceparent", "00-1")
+		"Idempotency-Key", "k", "OpenAI-Project", "studio", "Prefer", "wait=3", "Priority", "u=1", "Traceparent", "00-1",
+		"X-Request-Id", "their-own")
 	require.Equal(t, http.StatusCreated, resp.StatusCode)
 	require.Equal(t, "/bookings/1", resp.Header.Get("Location"))
 	require.Equal(t, `{"a":1}`, body)
+	require.NotEmpty(t, b.served.Caller.RequestID)
+	require.Equal(t, []string{string(b.served.Caller.RequestID)}, resp.Header.Values("X-Request-Id"))
 	require.Equal(t, openai.Caller{
+		RequestID:      b.served.Caller.RequestID,
+		OwnID:          "their-own",
 		Workspace:      "studio",
 		IdempotencyKey: "k",
 		Prefer:         "wait=3",
@@ -290,6 +295,7 @@
 	require.Equal(t, "/bookings?day=2", b.served.Request.Path)
 	resp, _ = post(t, url+"/services/app/bookings", "", "Idempotency-Key", strings.Repeat("k", 256))
 	require.Equal(t, http.StatusBadRequest, resp.StatusCode)
+	require.NotEmpty(t, resp.Header.Get("X-Request-Id"))
 }
 
 func FuzzParseRequest(f *testing.F) {
--- a/io/openai/server.go
+++ b/io/openai/server.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/gofiber/fiber/v3"
+	"github.com/google/uuid"
 	"github.com/sourcegraph/conc"
 
 	"waxwingpick"
@@ -28,10 +29,15 @@
 	maxPathBytes = 2048
 	maxKeyBytes  = 255
 	// maxTraceBytes bounds the traceparent that is passed on; a valid one of today has 55 bytes.
-	maxTraceBytes  = 128
+	maxTraceBytes = 128
+	// maxOwnIDBytes bounds the callers' own request IDs that are logged.
+	maxOwnIDBytes  = 128
 	maxConcurrency = 4096
 )
 
+// requestIDHeader names a request: the caller's own ID on the way in, and ours on the way out.
+const requestIDHeader = "X-Request-Id"
+
 // defaultWorkspace is the workspace of requests that name none.
 const defaultWorkspace = "default"
 
@@ -261,11 +267,15 @@
 	for _, h := range resp.Headers {
 		c.Response().Header.Add(h.Name, h.Value)
 	}
+	// A service's own ID of the request would hide the one that the logs know.
+	c.Set(requestIDHeader, string(caller.RequestID))
 	return c.Status(resp.Status).Send(resp.Body)
 }
 
 func parseCaller(c fiber.Ctx) (Caller, error) {
 	caller := Caller{
+		RequestID:      waxwingpick.RequestID(uuid.NewString()),
+		OwnID:          strings.Clone(c.Get(requestIDHeader)),
 		Workspace:      defaultWorkspace,
 		IdempotencyKey: strings.Clone(c.Get("Idempotency-Key")),
 		Traceparent:    strings.Clone(c.Get("Traceparent")),
@@ -276,6 +286,10 @@
 		// A receiver ignores a traceparent that is not valid.
 		caller.Traceparent = ""
 	}
+	if len(caller.OwnID) > maxOwnIDBytes {
+		caller.OwnID = ""
+	}
+	c.Set(requestIDHeader, string(caller.RequestID))
 	if project := c.Get("OpenAI-Project"); project != "" {
 		caller.Workspace = waxwingpick.WorkspaceID(strings.Clone(project))
 	}
--- a/io/prometheus/metrics.go
+++ b/io/prometheus/metrics.go
@@ -175,6 +175,26 @@
 	}))
 }
 
+// LogDropped shows the log lines of each class that found no room; nothing where dropped is nil.
+func (m *Metrics) LogDropped(dropped func(lane waxwingpick.Lane) uint64) {
+	if dropped == nil {
+		return
+	}
+	for _, lane := range []waxwingpick.Lane{waxwingpick.LaneKept, waxwingpick.LaneRoutine} {
+		// Only a second log of one process fails here; the first stays shown.
+		_ = m.registry.Register(client.NewCounterFunc(client.CounterOpts{
+			Namespace: namespace,
+			Name:      "log_lines_dropped_total",
+			Help:      "Log lines that found no room, by class.",
+			ConstLabels: client.Labels{
+				"lane": lane.String(),
+			},
+		}, func() float64 {
+			return float64(dropped(lane))
+		}))
+	}
+}
+
 // QuotaAsk counts an ask for a part of a workspace's rate.
 func (m *Metrics) QuotaAsk(result AskResult) {
 	m.quotaAsks.WithLabelValues(known(askResults, result)).Inc()
--- a/io/sidecar/wire.go
+++ b/io/sidecar/wire.go
@@ -39,6 +39,8 @@
 type Attempt struct {
 	// ID is unique for each attempt and names the engine's stream.
 	ID string `json:"id"`
+	// Request names the caller's request in the logs of all processes.
+	Request waxwingpick.RequestID `json:"request,omitempty"`
 	// Fleet is the name of the fleet that the attempt is for; the client sets it.
 	Fleet     string                  `json:"fleet,omitempty"`
 	Service   waxwingpick.ServiceName `json:"service"`
