--- a/internal/demo/cluster.go
+++ b/internal/demo/cluster.go
@@ -49,6 +49,8 @@
 	// LameDuck is how long a stopping entry still takes requests.
 	LameDuck time.Duration
 	Log      *logrus.Logger
+	// Decisions takes what the processes decide about requests; nil keeps none of it.
+	Decisions waxwingpick.DecisionLog
 }
 
 // Cluster is a running system on stand-ins.
@@ -283,6 +285,7 @@
 	o.Platform = list
 	o.Timers = c.timers
 	o.Log = c.layout.Log
+	o.Decisions = c.layout.Decisions
 	o.MaxBody = maxBody
 	s, err := c.launchSidecar(o)
 	if err != nil {
@@ -324,18 +327,19 @@
 	}
 	id := waxwingpick.InstanceID(fmt.Sprintf("entry-%d", i))
 	e, err := entry.New(entry.Options{
-		Fleet:    c.fleet,
-		Instance: id,
-		Zone:     c.zone(i),
-		Listen:   loopback.AnyPort(),
-		Control:  loopback.AnyPort(),
-		KeyValue: kv,
-		Platform: list,
-		Timers:   c.timers,
-		Log:      c.layout.Log,
-		LameDuck: c.layout.LameDuck,
-		Policy:   c.layout.Policy,
-		MaxBody:  maxBody,
+		Fleet:     c.fleet,
+		Instance:  id,
+		Zone:      c.zone(i),
+		Listen:    loopback.AnyPort(),
+		Control:   loopback.AnyPort(),
+		KeyValue:  kv,
+		Platform:  list,
+		Timers:    c.timers,
+		Log:       c.layout.Log,
+		Decisions: c.layout.Decisions,
+		LameDuck:  c.layout.LameDuck,
+		Policy:    c.layout.Policy,
+		MaxBody:   maxBody,
 	})
 	if err != nil {
 		return fmt.Errorf("create entry: %w", err)
--- a/internal/demo/command.go
+++ b/internal/demo/command.go
@@ -8,10 +8,10 @@
 
 	"github.com/google/subcommands"
 	"github.com/rotisserie/eris"
-	"github.com/sirupsen/logrus"
 
 	"waxwingpick"
 	samples "waxwingpick/config"
+	"waxwingpick/io/jsonlines"
 	"waxwingpick/io/yaml"
 )
 
@@ -114,17 +114,17 @@
 	if err != nil {
 		return Options{}, fmt.Errorf("read sample: %w", err)
 	}
-	log := logrus.New()
-	log.SetFormatter(&logrus.JSONFormatter{})
-	log.SetOutput(io.Discard)
+	out := io.Discard
 	if c.logs {
-		log.SetOutput(c.stderr)
+		out = c.stderr
 	}
+	lines := jsonlines.New(out)
 	return Options{
-		Config:   record,
-		Zones:    []waxwingpick.AvailabilityZone{"zone-a", "zone-b"},
-		Fault:    Fault(c.fault),
-		Progress: c.stderr,
-		Log:      log,
+		Config:    record,
+		Zones:     []waxwingpick.AvailabilityZone{"zone-a", "zone-b"},
+		Fault:     Fault(c.fault),
+		Progress:  c.stderr,
+		Log:       lines.Logger(),
+		Decisions: lines,
 	}, nil
 }
--- a/internal/demo/load.go
+++ b/internal/demo/load.go
@@ -92,21 +92,22 @@
 // run starts the callers and waits for them; a request that has started is finished after ctx ends.
 func (l *Load) run(ctx context.Context, quick, long, orders int) {
 	var wg conc.WaitGroup
-	start := func(n int, send func(c *Caller, r *rand.Rand)) {
+	start := func(kind string, n int, send func(c *Caller, r *rand.Rand)) {
 		for i := range n {
 			wg.Go(func() {
-				l.repeat(ctx, i, send)
+				l.repeat(ctx, kind, i, send)
 			})
 		}
 	}
-	start(quick, l.quick)
-	start(long, l.long)
-	start(orders, l.order)
+	start("teachers", quick, l.quick)
+	start("owners", long, l.long)
+	start("parents", orders, l.order)
 	wg.Wait()
 }
 
-func (l *Load) repeat(ctx context.Context, i int, send func(c *Caller, r *rand.Rand)) {
-	c := NewCaller(fmt.Sprintf("studio-%d", i))
+// repeat sends requests of one kind in a workspace of their own, so that all together stay below a workspace's rate.
+func (l *Load) repeat(ctx context.Context, kind string, i int, send func(c *Caller, r *rand.Rand)) {
+	c := NewCaller(fmt.Sprintf("%s-%d", kind, i))
 	defer c.Close()
 	r := rand.New(rand.NewPCG(uint64(i), 1))
 	t := time.NewTicker(callerPause)
--- a/internal/demo/run.go
+++ b/internal/demo/run.go
@@ -54,6 +54,8 @@
 	Fault    Fault
 	Progress io.Writer
 	Log      *logrus.Logger
+	// Decisions takes what the processes decide about requests; nil keeps none of it.
+	Decisions waxwingpick.DecisionLog
 }
 
 // Run starts the whole path on stand-ins, sends a short mixed load with a preset switch, a leaving instance and
@@ -70,6 +72,7 @@
 		Zones:         o.Zones,
 		EngineOptions: []standinengine.Option{standinengine.Speed(prefillToken, decodeToken)},
 		Log:           o.Log,
+		Decisions:     o.Decisions,
 	})
 	if err != nil {
 		return Summary{}, fmt.Errorf("start cluster: %w", err)
--- a/internal/demo/run_test.go
+++ b/internal/demo/run_test.go
@@ -35,6 +35,21 @@
 	require.Positive(t, s.Resent)
 }
 
+// TestDemoOfEachSampleKeepsItsPromises runs the command of the README with the samples that it ships.
+func TestDemoOfEachSampleKeepsItsPromises(t *testing.T) {
+	t.Parallel()
+	for _, sample := range []string{"tanzplan", "cacaotera"} {
+		t.Run(sample, func(t *testing.T) {
+			t.Parallel()
+			takePlace(t)
+			c := NewCommand(t.Output(), t.Output())
+			c.sample = sample
+			c.output = outputTable
+			require.NoError(t, c.run(t.Context()))
+		})
+	}
+}
+
 func TestRunNoticesBrokenPromises(t *testing.T) {
 	t.Parallel()
 	for _, fault := range []Fault{FaultDoubleRun, FaultCut} {
