logs: a line when a dependency is lost and when it is back

An outage of the key-value service or of the platform's list showed as a warning for each failed read, without its beginning or end; an engine that could not be reached showed only in debug lines.

--- a/core/callbudget/client.go
+++ b/core/callbudget/client.go
@@ -42,6 +42,8 @@
 	counts  map[waxwingpick.KeyValueCall]Counts
 	breaker *Breaker
 	opened  int64
+	// observe takes the end of each call that went to the service.
+	observe func(err error)
 }
 
 // Counts are the calls of one kind since the start.
@@ -61,6 +63,7 @@
 	threshold int
 	least     time.Duration
 	most      time.Duration
+	observe   func(err error)
 }
 
 // Option sets up a Client.
@@ -99,6 +102,18 @@
 	}
 }
 
+// WithObserver has a function told of the end of each call that went to the service, with the failure that Failed
+// reports, and nil where the service answered, whatever it said.
+func WithObserver(observe func(err error)) Option {
+	return func(s *settings) error {
+		if observe == nil {
+			return eris.New("observer is nil")
+		}
+		s.observe = observe
+		return nil
+	}
+}
+
 // New returns a client over kv; rng draws the backoff and must differ between processes.
 func New(kv waxwingpick.KeyValue, timers waxwingpick.Timers, rng *rand.Rand, opts ...Option) (*Client, error) {
 	s := settings{
@@ -106,6 +121,7 @@
 		threshold: defaultThreshold,
 		least:     defaultLeastBackoff,
 		most:      defaultMostBackoff,
+		observe:   func(error) {},
 	}
 	for _, kind := range waxwingpick.KeyValueCalls() {
 		s.rates[kind] = DefaultRate(kind)
@@ -121,6 +137,7 @@
 		buckets: make(map[waxwingpick.KeyValueCall]*rate.Limiter),
 		counts:  make(map[waxwingpick.KeyValueCall]Counts),
 		own:     waxwingpick.NewSet(waxwingpick.CallKeepAlive),
+		observe: s.observe,
 		breaker: NewBreaker(s.threshold, NewBackoff(s.least, s.most, rng)),
 	}
 	for kind, r := range s.rates {
@@ -210,6 +227,13 @@
 
 // record tells the breaker what became of a call.
 func (c *Client) record(kind waxwingpick.KeyValueCall, err error) {
+	switch {
+	case errors.Is(err, context.Canceled):
+	case Failed(err):
+		c.observe(err)
+	default:
+		c.observe(nil)
+	}
 	now := c.timers.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/daemon/log_test.go
+++ b/internal/daemon/log_test.go
@@ -38,6 +38,20 @@
 	return all
 }
 
+// logged reports whether a process wrote a line with the message about a dependency.
+func (p *proc) logged(message, dependency string) bool {
+	for scan := bufio.NewScanner(strings.NewReader(p.log.String())); scan.Scan(); {
+		var line struct {
+			Message    string `json:"msg"`
+			Dependency string `json:"dependency"`
+		}
+		if json.Unmarshal(scan.Bytes(), &line) == nil && line.Message == message && line.Dependency == dependency {
+			return true
+		}
+	}
+	return false
+}
+
 // steps returns the decisions as "action outcome".
 func steps(lines []decisionLine) []string {
 	var all []string
--- a/internal/daemon/outage_test.go
+++ b/internal/daemon/outage_test.go
@@ -92,12 +92,28 @@
 	}
 	time.Sleep(stillTime)
 	require.Equal(s.t, plan, s.plan().Revision)
+	s.await(func() bool {
+		return s.everyEntryLogged("dependency lost", "keyValue")
+	})
 	outage.heal(s)
 	s.awaitAgreed()
+	s.await(func() bool {
+		return s.everyEntryLogged("dependency is back", "keyValue")
+	})
 	require.Equal(s.t, string(before), string(s.answer(caller, 1, "before")))
 	s.answer(caller, 0, "meanwhile")
 }
 
+// everyEntryLogged reports whether each entry has a log line with the message about a dependency.
+func (s *system) everyEntryLogged(message, dependency string) bool {
+	for _, n := range s.entries() {
+		if !n.proc.logged(message, dependency) {
+			return false
+		}
+	}
+	return true
+}
+
 // someEntryFollows reports whether an entry acts under the accepted configuration.
 func (s *system) someEntryFollows() bool {
 	for _, n := range s.entries() {
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -23,6 +23,7 @@
 	"waxwingpick/core/timer"
 	"waxwingpick/core/trail"
 	"waxwingpick/internal/authority"
+	"waxwingpick/internal/dependency"
 	"waxwingpick/internal/instancelist"
 	"waxwingpick/internal/records"
 	"waxwingpick/io/jsonrpc"
@@ -116,7 +117,8 @@
 	if p.outcomes, err = newOutcomes(); err != nil {
 		return err
 	}
-	if p.budget, err = callbudget.New(p.options.KeyValue, p.timers, newRandom()); err != nil {
+	if p.budget, err = callbudget.New(p.options.KeyValue, p.timers, newRandom(),
+		callbudget.WithObserver(dependency.New("keyValue", p.timers, p.log).Observe)); err != nil {
 		return fmt.Errorf("create key-value budget: %w", err)
 	}
 	p.kv = p.outcomes.metrics.KeyValue(p.budget)
--- a/internal/instancelist/runner.go
+++ b/internal/instancelist/runner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -11,6 +12,7 @@
 
 	"waxwingpick"
 	"waxwingpick/core/instances"
+	"waxwingpick/internal/dependency"
 	"waxwingpick/internal/steploop"
 )
 
@@ -28,8 +30,10 @@
 	log      logrus.FieldLogger
 	sleeper  *steploop.Sleeper
 	counted  func(ok bool)
-	alone    bool
-	started  time.Time
+	// reached logs when the platform's list is lost and back.
+	reached *dependency.Dependency
+	alone   bool
+	started time.Time
 
 	mu       sync.Mutex
 	list     *instances.List
@@ -75,6 +79,7 @@
 	for _, opt := range opts {
 		opt(r)
 	}
+	r.reached = dependency.New("platformList", timers, r.log)
 	r.schedule = instances.NewSchedule(self, rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())))
 	if r.alone {
 		r.schedule.ReadAlone()
@@ -116,8 +121,11 @@
 	asked := r.timers.Now()
 	rows, err := r.platform.Instances(ctx)
 	r.counted(err == nil)
+	if !errors.Is(err, context.Canceled) {
+		r.reached.Observe(err)
+	}
 	if err != nil {
-		r.log.WithError(err).Warn("platform list not read")
+		r.log.WithError(err).Debug("platform list not read")
 		r.mu.Lock()
 		r.schedule.Failed(r.timers.Now(), r.list)
 		r.mu.Unlock()
--- a/internal/sidecar/process.go
+++ b/internal/sidecar/process.go
@@ -22,6 +22,7 @@
 	"waxwingpick/core/suspect"
 	"waxwingpick/core/timer"
 	"waxwingpick/core/trail"
+	"waxwingpick/internal/dependency"
 	"waxwingpick/internal/instancelist"
 	"waxwingpick/internal/records"
 	"waxwingpick/io/jsonrpc"
@@ -66,17 +67,19 @@
 	kv       waxwingpick.KeyValue
 	budget   *callbudget.Client
 	crashes  *crashes
-	list     *instancelist.Runner
-	records  *records.Runner
-	ordered  atomic.Bool
-	totals   totals
-	data     *sidecar.Server
-	control  *jsonrpc.Server
-	client   *jsonrpc.Client
-	peers    *sidecar.Client
-	work     conc.WaitGroup
-	loops    conc.WaitGroup
-	stops    []func()
+	// reached logs when the engine is lost and back.
+	reached *dependency.Dependency
+	list    *instancelist.Runner
+	records *records.Runner
+	ordered atomic.Bool
+	totals  totals
+	data    *sidecar.Server
+	control *jsonrpc.Server
+	client  *jsonrpc.Client
+	peers   *sidecar.Client
+	work    conc.WaitGroup
+	loops   conc.WaitGroup
+	stops   []func()
 
 	mu        sync.Mutex
 	active    waxwingpick.Option[waxwingpick.EngineConfig]
@@ -107,6 +110,7 @@
 			"target":   o.Target,
 		}),
 	}
+	p.reached = dependency.New("engine", p.timers, p.log)
 	p.lifecycle, p.end = context.WithCancel(context.Background())
 	if err := p.createParts(); err != nil {
 		return nil, fmt.Errorf("create sidecar: %w", err)
@@ -168,7 +172,8 @@
 	p.metrics.OrderAnswers(p.guard.AnswerBytes)
 	p.metrics.LogDropped(p.options.LogDropped)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	p.budget, err = callbudget.New(p.options.KeyValue, p.timers, random)
+	p.budget, err = callbudget.New(p.options.KeyValue, p.timers, random,
+		callbudget.WithObserver(dependency.New("keyValue", p.timers, p.log).Observe))
 	if err != nil {
 		return fmt.Errorf("create key-value budget: %w", err)
 	}
@@ -325,8 +330,10 @@
 	ctx, cancel := context.WithTimeout(p.lifecycle, stateTimeout)
 	defer cancel()
 	state, err := p.engine.State(ctx)
+	if p.lifecycle.Err() == nil {
+		p.reached.Observe(err)
+	}
 	if err != nil {
-		p.log.WithField("error", err.Error()).Debug("engine state not read")
 		return
 	}
 	p.mu.Lock()
