--- a/cmd/waxwingpickd/main.go
+++ b/cmd/waxwingpickd/main.go
@@ -15,6 +15,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(daemon.EntryCommand(), "")
 	subcommands.Register(daemon.SidecarCommand(), "")
+	subcommands.Register(daemon.GatewayCommand(), "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- /dev/null
+++ b/core/placement/engine.go
@@ -0,0 +1,103 @@
+package placement
+
+import (
+	"time"
+
+	"waxwingpick"
+)
+
+// engine is what is known of one engine.
+type engine struct {
+	target  waxwingpick.Target
+	cache   *cache
+	reading map[*Leg]struct{}
+	running int
+	// freed is when the engine last ended reading a prompt, or got one while it read none.
+	freed time.Time
+}
+
+func newEngine(capacity int) *engine {
+	return &engine{
+		cache:   newCache(capacity),
+		reading: make(map[*Leg]struct{}),
+	}
+}
+
+// ahead is the prompt work at a pace of 1 that a new request waits for.
+func (e *engine) ahead(now time.Time) time.Duration {
+	total := time.Duration(0)
+	for leg := range e.reading {
+		total += leg.work
+	}
+	if total == 0 {
+		return 0
+	}
+	return max(0, total-now.Sub(e.freed))
+}
+
+// Leg is one sending of a request to an engine.
+type Leg struct {
+	engine *engine
+	fleet  *Fleet
+	work   time.Duration
+	begun  time.Time
+	alone  bool
+	read   bool
+	over   bool
+}
+
+// Begin notes that a request is sent to an engine, which reads its prompt beyond what it keeps, or nothing of it where
+// the KV cache is fetched.
+func (f *Fleet) Begin(now time.Time, id waxwingpick.TargetID, p waxwingpick.Prompt, fetched bool) *Leg {
+	e, ok := f.engines[id]
+	if !ok {
+		e = newEngine(0)
+	}
+	keys := chain(p)
+	leg := &Leg{
+		engine: e,
+		fleet:  f,
+		begun:  now,
+		alone:  len(e.reading) == 0,
+	}
+	if !fetched {
+		leg.work = readTime(p.Tokens, e.cache.held(keys, p.Parts)) + milliseconds(callTime)
+		if leg.alone {
+			e.freed = now
+		}
+		e.reading[leg] = struct{}{}
+	}
+	e.cache.use(keys, p.Parts)
+	e.running++
+	return leg
+}
+
+// Read notes that the engine has read the prompt.
+func (l *Leg) Read(now time.Time) {
+	if l.read {
+		return
+	}
+	l.read = true
+	if _, ok := l.engine.reading[l]; !ok {
+		return
+	}
+	delete(l.engine.reading, l)
+	l.engine.freed = now
+	if l.alone {
+		// Only work that waited for none of ours tells how fast an engine reads.
+		l.fleet.paceOf(l.engine.target.Role).observe(l.work, now.Sub(l.begun))
+	}
+}
+
+// End notes that the engine has no more to do for the request.
+func (l *Leg) End(now time.Time) {
+	if l.over {
+		return
+	}
+	l.over = true
+	l.engine.running--
+	if _, ok := l.engine.reading[l]; ok {
+		delete(l.engine.reading, l)
+		l.engine.freed = now
+	}
+}
--- /dev/null
+++ b/core/placement/placement.go
@@ -0,0 +1,247 @@
+package placement
+
+import (
+	"time"
+
+	"waxwingpick"
+	"waxwingpick/core/routetable"
+)
+
+// Demand is a model request that looks for engines.
+type Demand struct {
+	Prompt   waxwingpick.Prompt
+	Priority int
+	// Aim is when the first event is to be there at the latest to be fully useful, Deadline when it is of no use any more.
+	Aim      time.Time
+	Deadline time.Time
+	// Exclude holds the engines that were tried before.
+	Exclude []waxwingpick.TargetID
+}
+
+// Choice names the engines of a request.
+type Choice struct {
+	// Run generates; Prefill reads the prompt before it, where present.
+	Run     waxwingpick.Target
+	Prefill waxwingpick.Option[waxwingpick.Target]
+	// Predicted is the time to the first event, HeldTokens what the reading engine is thought to keep of the prompt.
+	Predicted  time.Duration
+	HeldTokens int
+}
+
+// Verdict is the outcome of a choice that found no engine.
+type Verdict uint8
+
+// The verdicts on a request.
+const (
+	// VerdictPlaced says that engines were chosen.
+	VerdictPlaced Verdict = iota
+	// VerdictNone says that no engine may take the request.
+	VerdictNone
+	// VerdictLate says that no engine would answer in time.
+	VerdictLate
+)
+
+// String returns the name used in logs.
+func (v Verdict) String() string {
+	switch v {
+	case VerdictPlaced:
+		return "placed"
+	case VerdictNone:
+		return "noTarget"
+	case VerdictLate:
+		return "late"
+	}
+	return "unknown"
+}
+
+// Fleet places requests on the engines of one service; it is not safe for concurrent use.
+type Fleet struct {
+	zone    waxwingpick.AvailabilityZone
+	traits  routetable.Engines
+	engines map[waxwingpick.TargetID]*engine
+	order   []waxwingpick.TargetID
+	prefill pace
+	decode  pace
+}
+
+// New returns a fleet as seen from an availability zone.
+func New(zone waxwingpick.AvailabilityZone) *Fleet {
+	return &Fleet{
+		zone:    zone,
+		engines: make(map[waxwingpick.TargetID]*engine),
+		prefill: pace{
+			factor: 1,
+		},
+		decode: pace{
+			factor: decodeSlowdown,
+		},
+	}
+}
+
+// cacheShare is the part of an engine's memory that is thought to hold parts of prompts; the rest is for running requests.
+const cacheShare = 0.7
+
+// SetTargets takes the newest list of the service's engines.
+func (f *Fleet) SetTargets(targets []waxwingpick.Target, traits routetable.Engines) {
+	f.traits = traits
+	f.order = f.order[:0]
+	known := make(map[waxwingpick.TargetID]*engine, len(targets))
+	for _, t := range targets {
+		e, ok := f.engines[t.ID]
+		if !ok || e.target.Born != t.Born {
+			e = newEngine(int(cacheShare * float64(traits.MemoryTokens)))
+		}
+		e.target = t
+		known[t.ID] = e
+		f.order = append(f.order, t.ID)
+	}
+	f.engines = known
+}
+
+func (f *Fleet) paceOf(r waxwingpick.Role) *pace {
+	if r == waxwingpick.RolePrefill {
+		return &f.prefill
+	}
+	return &f.decode
+}
+
+// option is one way to serve a request.
+type option struct {
+	engine *engine
+	held   int
+	// wait is the work ahead, read the reading of the prompt.
+	wait time.Duration
+	read time.Duration
+}
+
+// Choose picks the engines with the earliest first event.
+func (f *Fleet) Choose(now time.Time, d Demand) (Choice, Verdict) {
+	keys := chain(d.Prompt)
+	var runners []option
+	var reader *option
+	for _, id := range f.order {
+		e := f.engines[id]
+		if !f.usable(e, d) {
+			continue
+		}
+		o := f.option(now, e, d, keys)
+		switch {
+		case e.target.Role != waxwingpick.RolePrefill:
+			runners = append(runners, o)
+		case reader == nil || o.wait+o.read < reader.wait+reader.read:
+			reader = &o
+		}
+	}
+	if len(runners) == 0 {
+		return Choice{}, VerdictNone
+	}
+	choice := f.whole(runners)
+	if reader != nil {
+		if split := f.split(d, *reader, runners); split.Predicted < choice.Predicted {
+			choice = split
+		}
+	}
+	if now.Add(choice.Predicted).After(d.Deadline) {
+		return choice, VerdictLate
+	}
+	return choice, VerdictPlaced
+}
+
+// whole picks the engine that reads the prompt and generates.
+func (f *Fleet) whole(runners []option) Choice {
+	best := Choice{}
+	for i, o := range runners {
+		predicted := o.wait + o.read + f.crowding(o.engine)
+		if i == 0 || predicted < best.Predicted {
+			best = Choice{
+				Run:        o.engine.target,
+				Predicted:  predicted,
+				HeldTokens: o.held,
+			}
+		}
+	}
+	return best
+}
+
+// split picks the engine that fetches the KV cache from the one that reads the prompt, and generates.
+func (f *Fleet) split(d Demand, reader option, runners []option) Choice {
+	best := Choice{}
+	for i, o := range runners {
+		predicted := reader.wait + reader.read + splitCost + f.fetchTime(o, d, reader) + f.crowding(o.engine)
+		if i == 0 || predicted < best.Predicted {
+			best = Choice{
+				Run:        o.engine.target,
+				Prefill:    waxwingpick.Some(reader.engine.target),
+				Predicted:  predicted,
+				HeldTokens: reader.held,
+			}
+		}
+	}
+	return best
+}
+
+const (
+	// splitCost is the time that a second leg takes besides its transfer: a sending and the set-up of the transfer. It
+	// also keeps prompts from moving where that gains nothing, since moved memory has a price.
+	splitCost = 30 * time.Millisecond
+	// farFactor is how much longer a transfer between availability zones takes.
+	farFactor = 2
+)
+
+func (f *Fleet) usable(e *engine, d Demand) bool {
+	if e.target.Leaving {
+		return false
+	}
+	for _, id := range d.Exclude {
+		if id == e.target.ID {
+			return false
+		}
+	}
+	if d.Prompt.Model == "" || len(e.target.Models) == 0 {
+		return true
+	}
+	for _, m := range e.target.Models {
+		if m == d.Prompt.Model {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *Fleet) option(now time.Time, e *engine, d Demand, keys []prefixKey) option {
+	held := e.cache.held(keys, d.Prompt.Parts)
+	p := f.paceOf(e.target.Role)
+	return option{
+		engine: e,
+		held:   held,
+		wait:   p.scale(e.ahead(now)),
+		read:   p.scale(readTime(d.Prompt.Tokens, held) + milliseconds(callTime)),
+	}
+}
+
+// crowding is what the requests that generate at an engine add to each of its steps.
+func (f *Fleet) crowding(e *engine) time.Duration {
+	over := max(0, e.running-e.target.Slots)
+	return time.Duration(e.running)*runningTime + time.Duration(over)*overfullTime
+}
+
+const (
+	// runningTime is what one more running request adds to the first event of the next.
+	runningTime = time.Millisecond
+	// overfullTime is the wait for a slot behind one more request than an engine has slots.
+	overfullTime = 50 * time.Millisecond
+)
+
+// fetchTime is the time of the transfer to an engine that keeps a part of the prompt already.
+func (f *Fleet) fetchTime(o option, d Demand, from option) time.Duration {
+	bytes := float64(max(0, d.Prompt.Tokens-o.held)) * float64(f.traits.TokenBytes)
+	rate := f.traits.LinkBytesPerSecond
+	if rate <= 0 {
+		return 0
+	}
+	took := time.Duration(bytes / rate * float64(time.Second))
+	if from.engine.target.Zone != o.engine.target.Zone {
+		took *= farFactor
+	}
+	return took
+}
--- /dev/null
+++ b/internal/daemon/gateway.go
@@ -0,0 +1,173 @@
+package daemon
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"waxwingpick/core/timer"
+	"waxwingpick/internal/gateway"
+	"waxwingpick/io/jsonlines"
+	"waxwingpick/platform"
+)
+
+const (
+	// retryShare is the part of the fleet's retry budget that each gateway uses of its own requests: half is left for
+	// requests that move between windows of the budget.
+	retryShare = 0.5
+	// lameDuckShare is the part of the time until the process is killed in which it still takes requests: the balancer
+	// needs two of its checks, a second apart, and callers with open connections go on until these end.
+	lameDuckShare = 0.6
+	// killMargin is kept before the process is killed, to end by itself.
+	killMargin = 700 * time.Millisecond
+	// heapShare is the part of the memory limit that the runtime may use; stacks, the kernel's buffers and the code
+	// take the rest.
+	heapShare = 0.6
+)
+
+var _ subcommands.Command = (*gatewayCommand)(nil)
+
+// gatewayCommand runs an entry on the users' platform.
+type gatewayCommand struct {
+	path  string
+	level string
+}
+
+// GatewayCommand returns the subcommand that runs an entry on the users' platform.
+func GatewayCommand() subcommands.Command {
+	return &gatewayCommand{}
+}
+
+// Name returns the subcommand's name.
+func (*gatewayCommand) Name() string { return "gateway" }
+
+// Synopsis describes the subcommand in a line.
+func (*gatewayCommand) Synopsis() string { return "run an entry on the users' platform" }
+
+// Usage describes the subcommand.
+func (*gatewayCommand) Usage() string {
+	return `waxwingpickd gateway [-settings FILE] [-logLevel LEVEL]
+
+Runs an entry that sends requests straight to the targets of the users'
+platform, until SIGTERM. The settings file has the platform's format; without
+-settings its path is taken from the variable ` + platform.SettingsVariable + `.
+
+Example:
+  waxwingpickd gateway -settings /etc/waxwingpick/boot.toml
+
+`
+}
+
+// SetFlags defines the subcommand's flags.
+func (c *gatewayCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.path, "settings", "", "the settings file, in the platform's format")
+	f.StringVar(&c.level, "logLevel", "info", "the least level of log lines")
+}
+
+// Execute runs the process until a signal stops it.
+func (c *gatewayCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	path := cmp.Or(c.path, os.Getenv(platform.SettingsVariable))
+	if path == "" || f.NArg() > 0 {
+		fmt.Fprint(os.Stderr, c.Usage())
+		return subcommands.ExitUsageError
+	}
+	if err := c.run(path); err != nil {
+		fmt.Fprintln(os.Stderr, "waxwingpickd:", err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *gatewayCommand) run(path string) error {
+	boot, err := platform.LoadBoot(path)
+	if err != nil {
+		return err
+	}
+	limitMemory(int(heapShare * float64(boot.Memory)))
+	lines, err := newLog(c.level)
+	defer closeLog(lines)
+	if err != nil {
+		return err
+	}
+	p, err := newGatewayProcess(boot, lines)
+	if err != nil {
+		return err
+	}
+	return run(p, lines.Logger(), func() (string, error) {
+		_, err := platform.LoadBoot(path)
+		return c.level, err
+	})
+}
+
+// gatewayProcess is a gateway with its edges on the platform.
+type gatewayProcess struct {
+	boot     platform.Boot
+	timers   *timer.System
+	store    *platform.Store
+	targets  *platform.Targets
+	gateway  *gateway.Process
+	callers  *platform.Callers
+	balancer *platform.Balancer
+}
+
+func newGatewayProcess(boot platform.Boot, lines *jsonlines.Log) (*gatewayProcess, error) {
+	targets, err := platform.NewTargets()
+	if err != nil {
+		return nil, fmt.Errorf("create client of targets: %w", err)
+	}
+	p := &gatewayProcess{
+		boot:    boot,
+		timers:  timer.NewSystem(),
+		store:   platform.NewStore(boot.Store),
+		targets: targets,
+	}
+	p.gateway, err = gateway.New(gateway.Options{
+		Instance: boot.Instance,
+		Zone:     boot.Zone,
+		Feed:     p.store,
+		Catalog: gateway.Catalog{
+			RoutesPrefix:  platform.ConfigPrefix,
+			TargetsPrefix: platform.TargetsPrefix,
+			Routes:        platform.ReadConfig,
+			Target:        platform.ReadTarget,
+			TargetID:      platform.TargetID,
+		},
+		Targets:       targets,
+		Timers:        p.timers,
+		Log:           lines.Logger(),
+		Decisions:     lines,
+		RetryFraction: retryShare * boot.RetryRatio,
+		LameDuck:      time.Duration(lameDuckShare * float64(boot.Grace)),
+	})
+	if err != nil {
+		return nil, err
+	}
+	log := lines.Logger().WithField("instance", boot.Instance)
+	p.callers = platform.NewCallers(p.gateway, p.timers, boot.Descriptors, log)
+	p.balancer = platform.NewBalancer(p.gateway, log)
+	return p, nil
+}
+
+// Start begins to serve.
+func (p *gatewayProcess) Start() error {
+	p.gateway.Start()
+	return errors.Join(p.balancer.Start(p.boot.Balancer), p.callers.Start(p.boot.Callers))
+}
+
+// Stop lets what runs end, at most until shortly before the platform kills the process.
+func (p *gatewayProcess) Stop(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, max(killMargin, p.boot.Grace-killMargin))
+	defer cancel()
+	p.gateway.Drain(ctx)
+	err := errors.Join(p.callers.Stop(), p.gateway.Stop())
+	p.targets.Close()
+	p.store.Close()
+	p.timers.Close()
+	return errors.Join(err, p.balancer.Stop(ctx))
+}
--- /dev/null
+++ b/internal/gateway/attempt.go
@@ -0,0 +1,248 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"waxwingpick"
+	"waxwingpick/core/placement"
+	"waxwingpick/core/timer"
+)
+
+const (
+	// leastLate and mostLate bound when a caller is to come back whose request would have been late.
+	leastLate = 100 * time.Millisecond
+	mostLate  = 2 * time.Second
+	// releaseTime bounds the freeing of KV cache after its request has ended.
+	releaseTime = time.Second
+)
+
+// sent is how one attempt ended, or began in the case of a stream.
+type sent struct {
+	reply waxwingpick.Dispatched
+	// first is the first event of a stream.
+	first waxwingpick.RawEvent
+	// refusal says why the attempt gave no usable answer; nil where it did.
+	refusal *waxwingpick.Refusal
+	err     error
+}
+
+// answered reports whether there is a target's answer that the caller may get.
+func (s sent) answered() bool {
+	return s.reply.Status != 0 && s.err == nil && !s.reply.NotRun
+}
+
+// choose picks the targets of the next attempt, or says why there are none.
+func (x *exchange) choose() (pick, *waxwingpick.Refusal) {
+	now := x.process.timers.Now()
+	if err := x.ctx.Err(); err != nil {
+		return pick{}, waxwingpick.NotRun(waxwingpick.ReasonDeadline, 0, err.Error())
+	}
+	if !x.service.servesModels() {
+		chosen, ok := x.service.chooseTarget(now, x.tried)
+		if !ok {
+			return chosen, x.noTarget(now)
+		}
+		x.chosen(now, chosen)
+		return chosen, nil
+	}
+	chosen, verdict := x.service.chooseEngines(now, placement.Demand{
+		Prompt:   x.in.Prompt,
+		Priority: x.route.Priority,
+		Aim:      x.in.Arrived.Add(x.route.Aim),
+		Deadline: x.deadline,
+		Exclude:  x.tried,
+	})
+	switch verdict {
+	case placement.VerdictPlaced:
+		x.chosen(now, chosen)
+		return chosen, nil
+	case placement.VerdictNone:
+		return chosen, x.noTarget(now)
+	case placement.VerdictLate:
+		after := min(mostLate, max(leastLate, chosen.predicted-x.route.Aim))
+		refusal := waxwingpick.NotRun(waxwingpick.ReasonDeadline, after, "no engine would answer in time")
+		x.unplaced(now, verdict, chosen.predicted, refusal)
+		return chosen, refusal
+	}
+	panic("unknown verdict of the placement")
+}
+
+func (x *exchange) noTarget(now time.Time) *waxwingpick.Refusal {
+	refusal := waxwingpick.NotRun(waxwingpick.ReasonNoTarget, noTargetRetry, "no target may take the request")
+	x.unplaced(now, placement.VerdictNone, 0, refusal)
+	return refusal
+}
+
+// send makes one attempt and waits for its answer, or for the first event of a stream.
+func (x *exchange) send(chosen pick) sent {
+	d := waxwingpick.Dispatch{
+		Inbound:     x.in,
+		Target:      chosen.run,
+		Priority:    x.route.Priority,
+		ResumeAfter: x.resumeAfter(),
+		Stream:      x.route.Kind == waxwingpick.RequestStream,
+	}
+	if reader, ok := chosen.prefill.Get(); ok {
+		kept, s := x.prefill(chosen, reader)
+		if s.refusal != nil {
+			return s
+		}
+		d.Source = waxwingpick.Some(kept.Source)
+	}
+	d.Remaining = x.remaining()
+	reply, err := x.process.options.Targets.Send(x.ctx, d)
+	s := x.judge(reply, err)
+	if s.refusal != nil {
+		x.release(d.Source)
+	}
+	if s.refusal == nil && reply.Events != nil {
+		s = x.firstEvent(s)
+	}
+	x.attempted(chosen, s)
+	return s
+}
+
+// resumeAfter returns the event after which the caller wants a stream to go on, where its route allows that.
+func (x *exchange) resumeAfter() string {
+	if !x.route.Resumable {
+		return ""
+	}
+	return x.in.ResumeAfter
+}
+
+func (x *exchange) remaining() time.Duration {
+	return x.deadline.Sub(x.process.timers.Now())
+}
+
+// prefill has the prompt read at one engine for another one.
+func (x *exchange) prefill(chosen pick, reader waxwingpick.Target) (waxwingpick.Prefilled, sent) {
+	kept, err := x.process.options.Targets.Prefill(x.ctx, waxwingpick.Dispatch{
+		Inbound:   x.in,
+		Target:    reader,
+		Remaining: x.remaining(),
+		Priority:  x.route.Priority,
+	})
+	x.service.prefilled(x.process.timers.Now(), chosen)
+	if err == nil && x.ctx.Err() != nil {
+		x.release(waxwingpick.Some(kept.Source))
+		err = x.ctx.Err()
+	}
+	if err == nil {
+		return kept, sent{}
+	}
+	// Reading a prompt is not running its request.
+	s := sent{
+		err:     err,
+		refusal: waxwingpick.NotRun(reasonOf(err), noTargetRetry, "prompt was not read"),
+	}
+	x.prefillFailed(reader, s)
+	return kept, s
+}
+
+// release frees KV cache that nobody will fetch, without keeping the caller waiting.
+func (x *exchange) release(source waxwingpick.Option[waxwingpick.KVSource]) {
+	kept, ok := source.Get()
+	if !ok {
+		return
+	}
+	p := x.process
+	p.loops.Go(func() {
+		ctx, cancel := context.WithTimeout(p.lifecycle, releaseTime)
+		defer cancel()
+		if err := p.options.Targets.Release(ctx, kept); err != nil {
+			p.log.WithField("error", err.Error()).Debug("KV cache not released: its engine drops it by itself")
+		}
+	})
+}
+
+// judge tells what a target's answer or silence means.
+func (x *exchange) judge(reply waxwingpick.Dispatched, err error) sent {
+	s := sent{
+		reply: reply,
+		err:   err,
+	}
+	switch {
+	case errors.Is(err, waxwingpick.ErrEngineUnreachable):
+		s.refusal = waxwingpick.NotRun(reasonOf(err), noTargetRetry, "nothing was sent")
+	case err != nil:
+		s.refusal = waxwingpick.Unknown(reasonOf(err), "target gave no whole answer")
+	case reply.Misdirected:
+		s.refusal = waxwingpick.NotRun(waxwingpick.ReasonStaleIncarnation, noTargetRetry, "another target has the address")
+	case reply.NotRun:
+		s.refusal = waxwingpick.NotRun(waxwingpick.ReasonOverload, noTargetRetry, "target did not run the request")
+	case reply.Status >= http.StatusInternalServerError:
+		// An answer nevertheless, which the caller gets unless another target does better.
+		s.refusal = waxwingpick.Unknown(waxwingpick.ReasonTargetLost, "target answered a failure")
+	}
+	return s
+}
+
+// firstEvent waits for the first event of a stream.
+func (x *exchange) firstEvent(s sent) sent {
+	event, err := s.reply.Events.Next()
+	if err == nil {
+		s.first = event
+		return s
+	}
+	if errors.Is(err, io.EOF) {
+		err = waxwingpick.ErrEngineLost
+	}
+	s.err = err
+	s.refusal = waxwingpick.Unknown(reasonOf(err), "stream broke before its first event")
+	return s
+}
+
+// reasonOf tells why an attempt failed.
+func reasonOf(err error) waxwingpick.Reason {
+	switch {
+	case errors.Is(err, context.DeadlineExceeded):
+		return waxwingpick.ReasonDeadline
+	case errors.Is(err, waxwingpick.ErrEngineUnreachable):
+		return waxwingpick.ReasonTargetUnreachable
+	case errors.Is(err, waxwingpick.ErrEngineRefused):
+		return waxwingpick.ReasonOverload
+	}
+	return waxwingpick.ReasonTargetLost
+}
+
+// closeAttempt ends an attempt whose answer is not passed on, or is passed on whole.
+func (x *exchange) closeAttempt(chosen pick, s sent) {
+	if s.reply.Events != nil {
+		// What the target still sends belongs to nobody.
+		_ = s.reply.Events.Close()
+	}
+	x.service.ended(x.process.timers.Now(), chosen, s.refusal != nil, s.reply.Running)
+}
+
+// deliver hands a target's answer to the caller.
+func (x *exchange) deliver(chosen pick, s sent) waxwingpick.Outbound {
+	x.service.answered()
+	if s.reply.Events == nil {
+		x.closeAttempt(chosen, s)
+		return x.passOn(chosen, s)
+	}
+	x.service.begun(x.process.timers.Now(), chosen)
+	return waxwingpick.Outbound{
+		Status:  s.reply.Status,
+		Headers: s.reply.Headers,
+		Events:  newRelay(x, chosen, s),
+	}
+}
+
+// passOn hands over a whole answer.
+func (x *exchange) passOn(_ pick, s sent) waxwingpick.Outbound {
+	x.finish(nil)
+	return waxwingpick.Outbound{
+		Status:  s.reply.Status,
+		Headers: s.reply.Headers,
+		Body:    s.reply.Body,
+	}
+}
+
+func sleep(ctx context.Context, timers waxwingpick.Timers, d time.Duration) bool {
+	return timer.Sleep(ctx, timers, d)
+}
--- /dev/null
+++ b/internal/gateway/follow.go
@@ -0,0 +1,252 @@
+package gateway
+
+import (
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"waxwingpick"
+	"waxwingpick/core/routetable"
+	"waxwingpick/core/timer"
+	"waxwingpick/internal/dependency"
+)
+
+const (
+	// watchWait is how long a call waits for changes; a connection that fell silent shows soon after it.
+	watchWait = time.Second
+	// targetsPause is the time between two calls for changes of targets, which write often.
+	targetsPause = 200 * time.Millisecond
+	// routesPause is the time between two calls for changes of the configuration, which are rare.
+	routesPause = 50 * time.Millisecond
+	// leastRetry and mostRetry bound the time before a call that failed is made again.
+	leastRetry = 50 * time.Millisecond
+	mostRetry  = 500 * time.Millisecond
+)
+
+// sink takes what a prefix holds.
+type sink interface {
+	// replace takes all keys, put and remove one change.
+	replace(entries []waxwingpick.Entry)
+	put(e waxwingpick.Entry)
+	remove(key string)
+	// lost and back tell of outages; changed follows each series of changes.
+	lost()
+	back()
+	changed()
+}
+
+// follow keeps a sink up to date with a prefix until the process ends.
+func (p *Process) follow(prefix string, pause time.Duration, s sink) {
+	watch := dependency.New("keyValue "+prefix, p.timers, p.log)
+	random := newRandom()
+	revision := int64(0)
+	known := false
+	retry := leastRetry
+	for p.lifecycle.Err() == nil {
+		var err error
+		if known {
+			revision, err = p.takeChanges(prefix, revision, s)
+		} else {
+			revision, err = p.takeSnapshot(prefix, s)
+		}
+		watch.Observe(err)
+		switch {
+		case err == nil:
+			known = true
+			retry = leastRetry
+			timer.Sleep(p.lifecycle, p.timers, pause)
+			continue
+		case errors.Is(err, waxwingpick.ErrHistoryGone):
+			p.log.WithFields(logrus.Fields{
+				"prefix": prefix,
+				"after":  revision,
+			}).Info("history is gone: all keys are read again")
+			known = false
+			continue
+		}
+		s.lost()
+		timer.Sleep(p.lifecycle, p.timers, retry/2+time.Duration(random.Int64N(int64(retry))))
+		retry = min(mostRetry, 2*retry)
+	}
+}
+
+func (p *Process) takeSnapshot(prefix string, s sink) (int64, error) {
+	entries, revision, err := p.options.Feed.Snapshot(p.lifecycle, prefix)
+	if err != nil {
+		return 0, err
+	}
+	s.back()
+	s.replace(entries)
+	s.changed()
+	return revision, nil
+}
+
+func (p *Process) takeChanges(prefix string, after int64, s sink) (int64, error) {
+	changes, revision, err := p.options.Feed.Changes(p.lifecycle, prefix, after, watchWait)
+	if err != nil {
+		return after, err
+	}
+	s.back()
+	for _, c := range changes {
+		if c.Removed {
+			s.remove(c.Key)
+			continue
+		}
+		s.put(c.Entry)
+	}
+	if len(changes) > 0 {
+		s.changed()
+	}
+	return revision, nil
+}
+
+// routesSink puts configurations in force.
+type routesSink struct {
+	process *Process
+}
+
+func (s *routesSink) replace(entries []waxwingpick.Entry) {
+	for _, e := range entries {
+		s.put(e)
+	}
+}
+
+func (s *routesSink) put(e waxwingpick.Entry) {
+	p := s.process
+	t, ok, err := p.options.Catalog.Routes(e)
+	if err != nil {
+		p.log.WithFields(logrus.Fields{
+			"revision": e.Revision,
+			"error":    err.Error(),
+		}).Warn("configuration not taken: the former one stays")
+		return
+	}
+	if ok {
+		p.apply(t, e.Revision)
+	}
+}
+
+// apply puts a configuration in force, unless a newer one is.
+func (p *Process) apply(t *routetable.Table, revision int64) {
+	if before := p.table.Load(); before != nil && before.Version() >= t.Version() {
+		return
+	}
+	p.table.Store(t)
+	p.log.WithFields(logrus.Fields{
+		"version":  t.Version(),
+		"revision": revision,
+	}).Info("configuration in force")
+	p.updateServices()
+}
+
+// remove changes nothing: a configuration stays in force until another one is accepted.
+func (s *routesSink) remove(string) {}
+func (s *routesSink) lost()         {}
+func (s *routesSink) back()         {}
+func (s *routesSink) changed()      {}
+
+// targetsSink keeps the list of targets.
+type targetsSink struct {
+	process *Process
+}
+
+func (s *targetsSink) replace(entries []waxwingpick.Entry) {
+	p := s.process
+	now := p.timers.Now()
+	targets := make([]waxwingpick.Target, 0, len(entries))
+	for _, e := range entries {
+		if t, ok := s.read(now, e); ok {
+			targets = append(targets, t)
+		}
+	}
+	p.listMu.Lock()
+	defer p.listMu.Unlock()
+	p.list.Replace(now, targets)
+	p.listed = true
+}
+
+func (s *targetsSink) put(e waxwingpick.Entry) {
+	p := s.process
+	now := p.timers.Now()
+	t, ok := s.read(now, e)
+	if !ok {
+		s.remove(e.Key)
+		return
+	}
+	p.listMu.Lock()
+	defer p.listMu.Unlock()
+	p.list.Put(t)
+}
+
+func (s *targetsSink) remove(key string) {
+	p := s.process
+	p.listMu.Lock()
+	defer p.listMu.Unlock()
+	p.list.Remove(p.timers.Now(), p.options.Catalog.TargetID(key))
+}
+
+// read decodes an entry; one that names no target to use is logged and left out.
+func (s *targetsSink) read(now time.Time, e waxwingpick.Entry) (waxwingpick.Target, bool) {
+	t, err := s.process.options.Catalog.Target(now, e)
+	if err != nil {
+		s.process.log.WithFields(logrus.Fields{
+			"key":      e.Key,
+			"revision": e.Revision,
+			"error":    err.Error(),
+		}).Warn("entry of the list not taken")
+	}
+	return t, err == nil
+}
+
+func (s *targetsSink) lost() {
+	s.process.listMu.Lock()
+	defer s.process.listMu.Unlock()
+	s.process.list.Lost()
+}
+
+func (s *targetsSink) back() {
+	s.process.listMu.Lock()
+	defer s.process.listMu.Unlock()
+	s.process.list.Back(s.process.timers.Now())
+}
+
+func (s *targetsSink) changed() {
+	s.process.updateServices()
+}
+
+// expireTargets drops the targets whose entries did not come back after an outage.
+func (p *Process) expireTargets(now time.Time) {
+	p.listMu.Lock()
+	dropped := p.list.Expire(now)
+	p.listMu.Unlock()
+	if dropped {
+		p.updateServices()
+	}
+}
+
+// updateServices hands each service its targets.
+func (p *Process) updateServices() {
+	table := p.table.Load()
+	if table == nil {
+		return
+	}
+	p.listMu.Lock()
+	defer p.listMu.Unlock()
+	byService := make(map[waxwingpick.ServiceName][]waxwingpick.Target)
+	for _, t := range p.list.Targets() {
+		byService[t.Service] = append(byService[t.Service], t)
+	}
+	p.servicesMu.Lock()
+	defer p.servicesMu.Unlock()
+	for _, name := range table.Services() {
+		s, ok := p.services[name]
+		if !ok {
+			s = newService(name, p.options)
+			p.services[name] = s
+		}
+		known, _ := table.Service(name)
+		s.update(byService[name], known)
+	}
+}
+
--- /dev/null
+++ b/internal/gateway/options.go
@@ -0,0 +1,51 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+
+	"waxwingpick"
+	"waxwingpick/core/routetable"
+)
+
+// ErrOptions says that the options of a process are not complete.
+var ErrOptions = eris.New("incomplete gateway options")
+
+// Catalog decodes what the key-value service tells of routes and targets.
+type Catalog struct {
+	// RoutesPrefix and TargetsPrefix begin the keys of the configuration and of the targets.
+	RoutesPrefix  string
+	TargetsPrefix string
+	// Routes decodes a configuration; ok is false for a key that holds none.
+	Routes func(e waxwingpick.Entry) (t *routetable.Table, ok bool, err error)
+	// Target decodes a target that was read at the given time; it fails for an entry that names none to use.
+	Target func(now time.Time, e waxwingpick.Entry) (waxwingpick.Target, error)
+	// TargetID returns the target that a key is about.
+	TargetID func(key string) waxwingpick.TargetID
+}
+
+// Options is what a gateway is made of.
+type Options struct {
+	Instance waxwingpick.InstanceID
+	Zone     waxwingpick.AvailabilityZone
+	Feed     waxwingpick.KeyFeed
+	Catalog  Catalog
+	Targets  waxwingpick.Dispatcher
+	Timers   waxwingpick.Timers
+	Log      *logrus.Logger
+	// Decisions takes what is decided about requests; nil keeps none of it.
+	Decisions waxwingpick.DecisionLog
+	// RetryFraction is the share of requests that this process may send once more.
+	RetryFraction float64
+	// LameDuck is how long a stopping process still takes requests, until callers and balancer have gone elsewhere.
+	LameDuck time.Duration
+}
+
+func (o Options) check() error {
+	if o.Instance == "" || o.Feed == nil || o.Targets == nil || o.Timers == nil || o.Log == nil {
+		return eris.Wrap(ErrOptions, "instance, feed, targets, timers or log")
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/gateway/process.go
@@ -0,0 +1,151 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
+
+	"waxwingpick"
+	"waxwingpick/core/drain"
+	"waxwingpick/core/routetable"
+	"waxwingpick/core/targetlist"
+	"waxwingpick/core/timer"
+	"waxwingpick/core/trail"
+)
+
+const (
+	stopPoll = 50 * time.Millisecond
+	// expiryPeriod is the time between two looks for targets whose entries did not come back.
+	expiryPeriod = 100 * time.Millisecond
+)
+
+var errNotReady = eris.New("not ready")
+
+var _ waxwingpick.Gateway = (*Process)(nil)
+
+// Process is one entry that sends requests straight to targets.
+type Process struct {
+	options Options
+	timers  waxwingpick.Timers
+	log     *logrus.Entry
+	trails  *trail.Log
+	gate    *drain.Gate
+
+	table atomic.Pointer[routetable.Table]
+
+	listMu sync.Mutex
+	list   *targetlist.List
+	listed bool
+
+	servicesMu sync.RWMutex
+	services   map[waxwingpick.ServiceName]*service
+
+	lifecycle context.Context
+	end       context.CancelFunc
+	loops     conc.WaitGroup
+	stops     []func()
+}
+
+// New returns a gateway that does not serve yet.
+func New(o Options) (*Process, error) {
+	if err := o.check(); err != nil {
+		return nil, err
+	}
+	p := &Process{
+		options:  o,
+		timers:   o.Timers,
+		log:      o.Log.WithField("instance", o.Instance),
+		trails:   trail.New(o.Decisions, o.Instance),
+		list:     targetlist.New(),
+		services: make(map[waxwingpick.ServiceName]*service),
+	}
+	var err error
+	if p.gate, err = drain.New(drain.WithLameDuck(o.LameDuck)); err != nil {
+		return nil, fmt.Errorf("create drain gate: %w", err)
+	}
+	p.lifecycle, p.end = context.WithCancel(context.Background())
+	return p, nil
+}
+
+// Start follows the configuration and the targets until Stop.
+func (p *Process) Start() {
+	p.loops.Go(func() {
+		p.follow(p.options.Catalog.RoutesPrefix, routesPause, &routesSink{
+			process: p,
+		})
+	})
+	p.loops.Go(func() {
+		p.follow(p.options.Catalog.TargetsPrefix, targetsPause, &targetsSink{
+			process: p,
+		})
+	})
+	p.stops = append(p.stops, p.timers.Every(expiryPeriod, p.expireTargets))
+}
+
+// Drain turns readiness off and waits until no request runs, or ctx ends.
+func (p *Process) Drain(ctx context.Context) {
+	p.gate.Stop(p.timers.Now())
+	p.log.WithField("running", p.gate.Running()).Info("entry stops: not ready")
+	for p.gate.Phase(p.timers.Now()) != drain.PhaseDrained {
+		if !timer.Sleep(ctx, p.timers, stopPoll) {
+			return
+		}
+	}
+}
+
+// Stop ends what still runs.
+func (p *Process) Stop() error {
+	running := p.gate.Running()
+	for _, stop := range p.stops {
+		stop()
+	}
+	p.end()
+	p.loops.Wait()
+	p.log.WithField("cut", running).Info("entry stopped")
+	if running > 0 {
+		return eris.Errorf("entry stopped with %d requests running", running)
+	}
+	return nil
+}
+
+// Ready returns nil where new connections may come.
+func (p *Process) Ready() error {
+	switch {
+	case !p.gate.Ready():
+		return fmt.Errorf("%w: stopping", errNotReady)
+	case !p.learned():
+		return fmt.Errorf("%w: configuration or targets not known", errNotReady)
+	}
+	return nil
+}
+
+// Stopping reports whether connections are to end with their next answer.
+func (p *Process) Stopping() bool {
+	return !p.gate.Ready()
+}
+
+// learned reports whether the configuration and the targets are known.
+func (p *Process) learned() bool {
+	p.listMu.Lock()
+	defer p.listMu.Unlock()
+	return p.listed && p.table.Load() != nil
+}
+
+// service returns what is known of a service's targets; nil where the configuration does not name it.
+func (p *Process) service(name waxwingpick.ServiceName) *service {
+	p.servicesMu.RLock()
+	defer p.servicesMu.RUnlock()
+	return p.services[name]
+}
+
+// newRandom returns a source that differs between processes, so that their jitter does.
+func newRandom() *rand.Rand {
+	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+}
--- /dev/null
+++ b/internal/gateway/serve.go
@@ -0,0 +1,223 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"waxwingpick"
+	"waxwingpick/core/retry"
+	"waxwingpick/core/routetable"
+	"waxwingpick/core/trail"
+)
+
+const (
+	// defaultPatience is how long a request may last that neither its caller nor its route bounds.
+	defaultPatience = 30 * time.Second
+	// notReadyRetry is when to come back to an entry that has just started.
+	notReadyRetry = time.Second
+	// noTargetRetry is when to come back to a service without a target.
+	noTargetRetry = 500 * time.Millisecond
+)
+
+// exchange is one request of a caller on its way to an answer.
+type exchange struct {
+	process  *Process
+	in       *waxwingpick.Inbound
+	route    routetable.Route
+	service  *service
+	trail    *trail.Trail
+	ctx      context.Context
+	cancel   context.CancelFunc
+	callers  context.Context
+	deadline time.Time
+	gateID   string
+
+	attempts int
+	tried    []waxwingpick.TargetID
+	// mayHaveRun says that an attempt was sent that may have run.
+	mayHaveRun bool
+}
+
+// gateIDs numbers the requests of the process, since callers may send one ID twice.
+var gateIDs atomic.Uint64
+
+// Serve answers a request; ctx ends when the caller leaves.
+func (p *Process) Serve(ctx context.Context, in *waxwingpick.Inbound) waxwingpick.Outbound {
+	now := p.timers.Now()
+	t := p.trails.Begin(in.ID)
+	table := p.table.Load()
+	if table == nil || !p.learned() {
+		return p.refuse(t, waxwingpick.NotRun(waxwingpick.ReasonNotReady, notReadyRetry, "configuration or targets not known yet"))
+	}
+	route, ok := table.Match(in.Host, in.Path)
+	if !ok {
+		t.Note(waxwingpick.ActionAccept.Of(now, "noRoute", waxwingpick.In("version", table.Version()),
+			waxwingpick.In("host", in.Host), waxwingpick.In("path", in.Path)))
+		t.End(now)
+		return problem(http.StatusNotFound, waxwingpick.NotRun(waxwingpick.ReasonNoTarget, 0, "no route"))
+	}
+	x := &exchange{
+		process:  p,
+		in:       in,
+		route:    route,
+		service:  p.service(route.Pick(rand.Float64())),
+		trail:    t,
+		callers:  ctx,
+		deadline: deadlineOf(in, route),
+		gateID:   strconv.FormatUint(gateIDs.Add(1), 10),
+	}
+	if err := p.gate.Enter(now, x.gateID, false); err != nil {
+		var refusal *waxwingpick.Refusal
+		errors.As(err, &refusal)
+		return p.refuse(t, refusal)
+	}
+	x.ctx, x.cancel = context.WithDeadline(ctx, x.deadline)
+	x.accepted(now, table.Version())
+	return x.run()
+}
+
+// deadlineOf returns when the caller or the route's time-out ends the request.
+func deadlineOf(in *waxwingpick.Inbound, route routetable.Route) time.Time {
+	patience := in.Patience
+	if patience <= 0 {
+		patience = defaultPatience
+	}
+	if route.Timeout > 0 {
+		patience = min(patience, route.Timeout)
+	}
+	return in.Arrived.Add(patience)
+}
+
+// run makes attempts until there is an answer or the request is given up.
+func (x *exchange) run() waxwingpick.Outbound {
+	if x.service == nil {
+		return x.giveUp(waxwingpick.NotRun(waxwingpick.ReasonNoTarget, noTargetRetry, "service has no targets"))
+	}
+	x.service.arrived(x.process.timers.Now())
+	for {
+		chosen, refusal := x.choose()
+		if refusal != nil {
+			return x.giveUp(refusal)
+		}
+		x.attempts++
+		x.tried = append(x.tried, chosen.run.ID)
+		s := x.send(chosen)
+		if s.answered() && !x.worthRepeating(s) {
+			return x.deliver(chosen, s)
+		}
+		x.closeAttempt(chosen, s)
+		x.mayHaveRun = x.mayHaveRun || s.refusal.Outcome != waxwingpick.OutcomeNotRun
+		if !x.again(s.refusal) {
+			if s.answered() {
+				return x.passOn(chosen, s)
+			}
+			return x.giveUp(s.refusal)
+		}
+	}
+}
+
+// again decides on a new attempt and waits for its time.
+func (x *exchange) again(refusal *waxwingpick.Refusal) bool {
+	now := x.process.timers.Now()
+	if x.ctx.Err() != nil || x.attempts >= x.route.MaxAttempts {
+		return false
+	}
+	verdict := x.service.decide(now, retry.Attempt{
+		Number:     x.attempts,
+		Refusal:    refusal,
+		Repeatable: x.route.Repeatable(),
+		Deadline:   x.deadline,
+	})
+	x.judged(now, refusal, verdict)
+	return verdict.Retry && x.pause(verdict.Delay)
+}
+
+func (x *exchange) pause(d time.Duration) bool {
+	return d <= 0 || sleep(x.ctx, x.process.timers, d)
+}
+
+// worthRepeating reports whether another target may do better than a failure that this one answered.
+func (x *exchange) worthRepeating(s sent) bool {
+	return s.reply.Status >= http.StatusInternalServerError && x.route.Kind == waxwingpick.RequestIdempotent
+}
+
+// giveUp ends the request without a target's answer.
+func (x *exchange) giveUp(refusal *waxwingpick.Refusal) waxwingpick.Outbound {
+	refusal = x.truthful(refusal)
+	x.finish(refusal)
+	return problem(statusOf(refusal), refusal)
+}
+
+// truthful makes a refusal as not run unknown where an earlier attempt may have run, and names the deadline where that
+// ended the request.
+func (x *exchange) truthful(refusal *waxwingpick.Refusal) *waxwingpick.Refusal {
+	if refusal.Outcome == waxwingpick.OutcomeNotRun && !x.mayHaveRun {
+		return refusal
+	}
+	final := *refusal
+	final.Outcome = waxwingpick.OutcomeUnknown
+	if errors.Is(x.ctx.Err(), context.DeadlineExceeded) {
+		final.Reason = waxwingpick.ReasonDeadline
+	}
+	return &final
+}
+
+// finish ends the request's bookkeeping; refusal is nil where the caller got a target's answer.
+func (x *exchange) finish(refusal *waxwingpick.Refusal) {
+	x.concluded(refusal)
+	x.cancel()
+	x.process.gate.Leave(x.gateID)
+}
+
+// refuse answers a request that was turned away before it was taken.
+func (p *Process) refuse(t *trail.Trail, refusal *waxwingpick.Refusal) waxwingpick.Outbound {
+	now := p.timers.Now()
+	t.Note(waxwingpick.ActionAccept.Of(now, "refused", waxwingpick.RefusalInputs(refusal)...))
+	t.End(now)
+	return problem(statusOf(refusal), refusal)
+}
+
+// statusOf returns the HTTP status of a refusal: 503 promises that the request has not run, 502 and 504 don't.
+func statusOf(refusal *waxwingpick.Refusal) int {
+	switch {
+	case refusal.Outcome == waxwingpick.OutcomeNotRun:
+		return http.StatusServiceUnavailable
+	case refusal.Reason == waxwingpick.ReasonDeadline:
+		return http.StatusGatewayTimeout
+	}
+	return http.StatusBadGateway
+}
+
+// problemBody tells a caller why it got no target's answer.
+type problemBody struct {
+	Outcome waxwingpick.Outcome `json:"outcome"`
+	Reason  waxwingpick.Reason  `json:"reason"`
+}
+
+func problem(status int, refusal *waxwingpick.Refusal) waxwingpick.Outbound {
+	body, err := json.Marshal(problemBody{
+		Outcome: refusal.Outcome,
+		Reason:  refusal.Reason,
+	})
+	if err != nil {
+		panic(err) // A struct of strings always encodes.
+	}
+	out := waxwingpick.Outbound{
+		Status: status,
+		Headers: []waxwingpick.Header{{
+			Name:  "Content-Type",
+			Value: "application/problem+json",
+		}},
+		Body: body,
+	}
+	if refusal.Outcome == waxwingpick.OutcomeNotRun {
+		out.RetryAfter = refusal.RetryAfter
+	}
+	return out
+}
--- /dev/null
+++ b/internal/gateway/trails.go
@@ -0,0 +1,99 @@
+package gateway
+
+import (
+	"time"
+
+	"waxwingpick"
+	"waxwingpick/core/placement"
+	"waxwingpick/core/retry"
+)
+
+// accepted notes what a request was taken for, under which configuration.
+func (x *exchange) accepted(now time.Time, version int64) {
+	inputs := []waxwingpick.Input{
+		waxwingpick.In("route", x.route.Name),
+		waxwingpick.In("kind", x.route.Kind.String()),
+		waxwingpick.InMillis("deadline", x.deadline.Sub(now)),
+		waxwingpick.In("version", version),
+	}
+	if x.in.Prompt.Tokens > 0 {
+		inputs = append(inputs, waxwingpick.In("promptTokens", x.in.Prompt.Tokens), waxwingpick.In("maxOutput", x.in.Prompt.MaxOutput))
+	}
+	x.trail.Add(waxwingpick.ActionAccept.Of(now, "taken", inputs...))
+}
+
+// chosen notes the choice of targets.
+func (x *exchange) chosen(now time.Time, c pick) {
+	inputs := []waxwingpick.Input{waxwingpick.InMillis("predicted", c.predicted)}
+	if c.held > 0 {
+		inputs = append(inputs, waxwingpick.In("heldTokens", c.held))
+	}
+	if reader, ok := c.prefill.Get(); ok {
+		inputs = append(inputs, waxwingpick.In("prefill", reader.ID))
+	}
+	x.trail.Add(waxwingpick.ActionChoose.Of(now, string(c.run.ID), inputs...))
+}
+
+// unplaced notes that no target was chosen.
+func (x *exchange) unplaced(now time.Time, verdict placement.Verdict, predicted time.Duration, refusal *waxwingpick.Refusal) {
+	inputs := append([]waxwingpick.Input{
+		waxwingpick.In("service", x.service.name),
+		waxwingpick.InMillis("predicted", predicted),
+	}, waxwingpick.RefusalInputs(refusal)...)
+	x.trail.Note(waxwingpick.ActionChoose.Of(now, verdict.String(), inputs...))
+}
+
+// prefillFailed notes that an engine did not read the prompt.
+func (x *exchange) prefillFailed(reader waxwingpick.Target, s sent) {
+	x.trail.Note(waxwingpick.ActionAttempt.Of(x.process.timers.Now(), "prefillFailed", waxwingpick.In("target", reader.ID),
+		waxwingpick.In("error", s.err.Error())))
+}
+
+// attempted notes how an attempt ended, or that its stream has begun.
+func (x *exchange) attempted(c pick, s sent) {
+	now := x.process.timers.Now()
+	inputs := []waxwingpick.Input{
+		waxwingpick.In("target", c.run.ID),
+		waxwingpick.In("status", s.reply.Status),
+		waxwingpick.InMillis("at", now.Sub(x.in.Arrived)),
+	}
+	if s.refusal == nil {
+		x.trail.Add(waxwingpick.ActionAttempt.Of(now, "answered", inputs...))
+		return
+	}
+	if s.err != nil {
+		inputs = append(inputs, waxwingpick.In("error", s.err.Error()))
+	}
+	x.trail.Note(waxwingpick.ActionAttempt.Of(now, string(s.refusal.Reason), append(inputs, waxwingpick.In("outcome", s.refusal.Outcome))...))
+}
+
+// judged notes whether the request gets a new attempt.
+func (x *exchange) judged(now time.Time, refusal *waxwingpick.Refusal, verdict retry.Verdict) {
+	outcome := "refused"
+	if verdict.Retry {
+		outcome = "retried"
+	}
+	inputs := append([]waxwingpick.Input{
+		waxwingpick.In("attempts", x.attempts),
+		waxwingpick.InMillis("delay", verdict.Delay),
+	}, waxwingpick.RefusalInputs(refusal)...)
+	x.trail.Note(waxwingpick.ActionRetry.Of(now, outcome, inputs...))
+}
+
+// concluded ends the trail with what the caller got.
+func (x *exchange) concluded(refusal *waxwingpick.Refusal) {
+	now := x.process.timers.Now()
+	inputs := []waxwingpick.Input{
+		waxwingpick.In("route", x.route.Name),
+		waxwingpick.InMillis("took", now.Sub(x.in.Arrived)),
+	}
+	switch {
+	case refusal == nil:
+		x.trail.Add(waxwingpick.ActionAnswer.Of(now, "answered", inputs...))
+	case x.callers.Err() != nil:
+		x.trail.Note(waxwingpick.ActionAnswer.Of(now, "callerLeft", inputs...))
+	default:
+		x.trail.Note(waxwingpick.ActionAnswer.Of(now, "refused", append(inputs, waxwingpick.RefusalInputs(refusal)...)...))
+	}
+	x.trail.End(now)
+}
--- a/io/internal/http1/answer.go
+++ b/internal/http1/answer.go
@@ -6,6 +6,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -105,6 +107,47 @@
 	_ = a.conn.SetReadDeadline(time.Now().Add(d))
 }
 
+// echoes reports whether the answer names the request that it belongs to, or names none.
+func (a *Answer) echoes(echo Field) bool {
+	if echo.Name == "" {
+		return true
+	}
+	named := a.resp.Header.Peek(echo.Name)
+	return len(named) == 0 || string(named) == echo.Value
+}
+
+// skip reads an answer that belongs to another request to its end.
+func (a *Answer) skip() error {
+	if a.resp.ConnectionClose() {
+		return io.ErrUnexpectedEOF
+	}
+	if a.resp.IsBodyStream() {
+		if _, err := io.Copy(io.Discard, a.resp.BodyStream()); err != nil {
+			return fmt.Errorf("read body: %w", err)
+		}
+		if err := a.resp.CloseBodyStream(); err != nil {
+			return fmt.Errorf("close body: %w", err)
+		}
+	}
+	stream, skipBody := a.resp.StreamBody, a.resp.SkipBody
+	a.resp.Reset()
+	a.resp.StreamBody, a.resp.SkipBody = stream, skipBody
+	return nil
+}
+
+// reusableFor returns how long the connection may stay idle before the peer may close it.
+func (a *Answer) reusableFor() time.Duration {
+	field := string(a.resp.Header.Peek("Keep-Alive"))
+	for part := range strings.SplitSeq(field, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		seconds, err := strconv.Atoi(value)
+		if strings.EqualFold(name, "timeout") && err == nil {
+			return max(0, min(time.Duration(seconds)*time.Second, idleTimeout)-closeMargin)
+		}
+	}
+	return a.client.pool.idleFor
+}
+
 // Close frees the answer. A body that was not read to its end takes its
 // connection along, so that nobody else reads the rest.
 func (a *Answer) Close() {
@@ -119,12 +162,14 @@
 		a.unhook()
 	}
 	reusable := a.whole && !a.interrupted && !a.resp.ConnectionClose()
+	reusableFor := a.reusableFor()
 	_ = a.resp.CloseBodyStream()
 	fasthttp.ReleaseResponse(a.resp)
 	fasthttp.ReleaseRequest(a.req)
 	switch {
 	case a.conn == nil:
 	case reusable:
+		a.conn.idleFor = reusableFor
 		a.client.pool.put(a.conn, time.Now())
 	default:
 		a.client.pool.drop(a.conn)
--- a/io/internal/http1/body_test.go
+++ b/internal/http1/body_test.go
@@ -11,7 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"github.com/valyala/fasthttp"
 
-	"waxwingpick/io/internal/http1"
+	"waxwingpick/internal/http1"
 )
 
 func TestStreamBodyIsSentAsItIsWrittenAndAlwaysEnds(t *testing.T) {
--- a/io/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -1,6 +1,7 @@
 package http1
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"net"
@@ -13,8 +14,12 @@
 	"waxwingpick/io/mtls"
 )
 
-// maxUnsentAttempts bounds the connections that are tried until one takes a byte.
-const maxUnsentAttempts = 3
+const (
+	// maxUnsentAttempts bounds the connections that are tried until one takes a byte.
+	maxUnsentAttempts = 3
+	// maxForeignAnswers bounds the answers to earlier requests that are skipped on one connection.
+	maxForeignAnswers = 3
+)
 
 var errUnsent = eris.New("connection took nothing of the request")
 
@@ -39,12 +44,28 @@
 	}
 }
 
+// IdleFor sets how long a connection may stay idle and be used again where the peer does not say.
+func IdleFor(d time.Duration) Option {
+	return func(c *Client) {
+		c.pool.idleFor = d
+	}
+}
+
+// MaxConnections bounds the open connections.
+func MaxConnections(n int) Option {
+	return func(c *Client) {
+		c.pool.most = n
+	}
+}
+
 // New returns a client of the IP address and port; answers that are not streamed are bounded in size.
 func New(addr string, maxAnswerBytes int, opts ...Option) *Client {
 	c := &Client{
 		pool: pool{
-			addr: addr,
-			open: make(map[*conn]struct{}),
+			addr:    addr,
+			idleFor: idleTimeout,
+			most:    maxConnections,
+			open:    make(map[*conn]struct{}),
 			secure: func(_ context.Context, c net.Conn) (net.Conn, error) {
 				return c, nil
 			},
@@ -72,6 +93,11 @@
 	Timeout time.Duration
 	// Stream leaves the body to be read by Answer.Stream.
 	Stream bool
+	// Host replaces the address in the Host field; empty for the address.
+	Host string
+	// Echo is a field that the peer repeats in its answer. An answer that names another value belongs to an earlier
+	// request and is skipped; empty for a peer that repeats none.
+	Echo Field
 }
 
 // Field is one header field.
@@ -109,14 +135,22 @@
 	}
 	a.resp.SkipBody = r.Method == fasthttp.MethodHead
 	a.resp.StreamBody = r.Stream
-	if err := a.conn.receive(a.resp, c.maxAnswer); err != nil {
-		if mtls.RefusedByPeer(err) {
-			return fmt.Errorf("%w: %s: %w", waxwingpick.ErrEngineUnreachable, c.pool.addr, err)
+	for range maxForeignAnswers {
+		if err := a.conn.receive(a.resp, c.maxAnswer); err != nil {
+			if mtls.RefusedByPeer(err) {
+				return fmt.Errorf("%w: %s: %w", waxwingpick.ErrEngineUnreachable, c.pool.addr, err)
+			}
+			return fmt.Errorf("%w: read answer of %s: %w", waxwingpick.ErrEngineLost, c.pool.addr, a.because(err))
+		}
+		if a.echoes(r.Echo) {
+			a.opened()
+			return nil
+		}
+		if err := a.skip(); err != nil {
+			return fmt.Errorf("%w: skip answer of %s to another request: %w", waxwingpick.ErrEngineLost, c.pool.addr, err)
 		}
-		return fmt.Errorf("%w: read answer of %s: %w", waxwingpick.ErrEngineLost, c.pool.addr, a.because(err))
 	}
-	a.opened()
-	return nil
+	return fmt.Errorf("%w: %s answers other requests", waxwingpick.ErrEngineLost, c.pool.addr)
 }
 
 // write sends the request. A connection that took no byte of it is replaced.
@@ -144,7 +178,7 @@
 func (c *Client) fill(req *fasthttp.Request, r Request) {
 	req.Header.SetMethod(r.Method)
 	req.Header.SetRequestURI(r.URI)
-	req.Header.SetHost(c.pool.addr)
+	req.Header.SetHost(cmp.Or(r.Host, c.pool.addr))
 	req.Header.SetNoDefaultContentType(true)
 	for _, f := range r.Header {
 		req.Header.Add(f.Name, f.Value)
--- a/io/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -16,7 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"waxwingpick"
-	"waxwingpick/io/internal/http1"
+	"waxwingpick/internal/http1"
 )
 
 const (
--- a/io/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -43,6 +43,8 @@
 	sent int
 	// idleSince is when the previous exchange ended.
 	idleSince time.Time
+	// idleFor is how long the connection may stay idle and be used again.
+	idleFor time.Duration
 }
 
 func newConn(inner net.Conn) *conn {
@@ -107,7 +109,7 @@
 // usable reports whether an idle connection can take a request: it is open and
 // holds no bytes that no request asked for.
 func (c *conn) usable(now time.Time) bool {
-	return now.Sub(c.idleSince) < idleTimeout && c.br.Buffered() == 0 && c.quiet()
+	return now.Sub(c.idleSince) < c.idleFor && c.br.Buffered() == 0 && c.quiet()
 }
 
 // quiet reports whether a connection is open and has nothing to read, in the socket or in a record that was read.
--- a/io/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -14,6 +14,9 @@
 	dialTimeout    = time.Second
 	idleTimeout    = 30 * time.Second
 	maxConnections = 8192
+	// closeMargin is kept from the time at which a peer closes an idle connection: a request that crosses the close is
+	// lost, and takes some milliseconds to arrive.
+	closeMargin = 500 * time.Millisecond
 )
 
 var (
@@ -26,7 +29,10 @@
 type pool struct {
 	addr   string
 	secure SecureFunc
-	mu     sync.Mutex
+	// idleFor is how long a connection may stay idle where the peer does not say; most bounds the open ones.
+	idleFor time.Duration
+	most    int
+	mu      sync.Mutex
 	closed bool
 	idle   []*conn
 	open   map[*conn]struct{}
@@ -135,7 +141,7 @@
 	if p.closed {
 		return errClosed
 	}
-	if len(p.open) >= maxConnections {
+	if len(p.open) >= p.most {
 		return errTooMany
 	}
 	return nil
--- a/io/internal/http1/tls_test.go
+++ b/internal/http1/tls_test.go
@@ -14,7 +14,7 @@
 	"github.com/stretchr/testify/require"
 
 	"waxwingpick/internal/standin/ca"
-	"waxwingpick/io/internal/http1"
+	"waxwingpick/internal/http1"
 )
 
 // joinedConn sends what is written while it holds in one piece.
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -13,7 +13,7 @@
 	"github.com/google/uuid"
 
 	"waxwingpick"
-	"waxwingpick/io/internal/http1"
+	"waxwingpick/internal/http1"
 )
 
 // Header names of the engine interface.
--- a/io/engine/errors.go
+++ b/io/engine/errors.go
@@ -6,7 +6,7 @@
 	"net/http"
 
 	"waxwingpick"
-	"waxwingpick/io/internal/http1"
+	"waxwingpick/internal/http1"
 )
 
 const errorTypeStale = "staleFencingNumber"
--- a/io/engine/generate.go
+++ b/io/engine/generate.go
@@ -11,7 +11,7 @@
 	"strconv"
 
 	"waxwingpick"
-	"waxwingpick/io/internal/http1"
+	"waxwingpick/internal/http1"
 )
 
 // addedFields are the fields that the adapter adds to a request's body.
--- a/io/engine/options.go
+++ b/io/engine/options.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"waxwingpick/io/internal/http1"
+	"waxwingpick/internal/http1"
 )
 
 const (
--- a/io/openai/server.go
+++ b/io/openai/server.go
@@ -15,11 +15,14 @@
 	"github.com/sourcegraph/conc"
 
 	"waxwingpick"
-	"waxwingpick/io/internal/http1"
+	"waxwingpick/internal/http1"
 	"waxwingpick/io/mtls"
 	"waxwingpick/io/tcp"
 )
 
+// leavePeriod is the time between two looks for callers that have left.
+const leavePeriod = 500 * time.Millisecond
+
 // Time-outs and bounds towards callers.
 const (
 	readTimeout  = 30 * time.Second
@@ -47,7 +50,7 @@
 type Server struct {
 	backend     Backend
 	timers      waxwingpick.Timers
-	leavers     *leavers
+	leavers     *tcp.Leavers
 	app         *fiber.App
 	credentials *mtls.Credentials
 	wg          conc.WaitGroup
@@ -70,7 +73,7 @@
 	s := &Server{
 		backend: backend,
 		timers:  timers,
-		leavers: newLeavers(),
+		leavers: tcp.NewLeavers(),
 		stop:    func() {},
 	}
 	for _, opt := range opts {
@@ -106,7 +109,7 @@
 	if err != nil {
 		return "", err
 	}
-	s.stop = s.timers.Every(leavePeriod, s.leavers.look)
+	s.stop = s.timers.Every(leavePeriod, s.leavers.Look)
 	s.wg.Go(func() {
 		s.serve(ln)
 	})
@@ -186,7 +189,7 @@
 		return err
 	}
 	// A model request may be repeated, so nobody needs it once its caller has left; a stream is then noticed by its writes.
-	ctx, stop := s.leavers.watch(c.RequestCtx().Conn())
+	ctx, stop := s.leavers.Watch(c.RequestCtx().Conn())
 	defer stop()
 	answer, err := s.backend.Generate(ctx, ModelCall{
 		Caller:  caller,
--- a/io/plain/client.go
+++ b/io/plain/client.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"waxwingpick"
-	"waxwingpick/io/internal/http1"
+	"waxwingpick/internal/http1"
 )
 
 const (
--- a/io/plain/header.go
+++ b/io/plain/header.go
@@ -8,7 +8,7 @@
 	"golang.org/x/net/http/httpguts"
 
 	"waxwingpick"
-	"waxwingpick/io/internal/http1"
+	"waxwingpick/internal/http1"
 )
 
 var errMalformed = eris.New("malformed request")
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -10,7 +10,7 @@
 	"github.com/rotisserie/eris"
 
 	"waxwingpick"
-	"waxwingpick/io/internal/http1"
+	"waxwingpick/internal/http1"
 )
 
 const (
--- a/io/sidecar/client.go
+++ b/io/sidecar/client.go
@@ -14,7 +14,7 @@
 	"github.com/rotisserie/eris"
 
 	"waxwingpick"
-	"waxwingpick/io/internal/http1"
+	"waxwingpick/internal/http1"
 	"waxwingpick/io/mtls"
 )
 
--- a/io/sidecar/server.go
+++ b/io/sidecar/server.go
@@ -15,7 +15,7 @@
 	"github.com/valyala/fasthttp/fasthttpadaptor"
 
 	"waxwingpick"
-	"waxwingpick/io/internal/http1"
+	"waxwingpick/internal/http1"
 	"waxwingpick/io/mtls"
 	"waxwingpick/io/tcp"
 )
--- a/io/openai/leavers.go
+++ b/io/tcp/leavers.go
@@ -1,20 +1,15 @@
-package openai
+package tcp
 
 import (
 	"context"
 	"net"
 	"sync"
 	"time"
-
-	"waxwingpick/io/tcp"
 )
 
-// leavePeriod is the time between two looks for callers that have left.
-const leavePeriod = 500 * time.Millisecond
-
-// leavers watches the connections of callers that wait for an answer. One look at all of them costs a system call each,
+// Leavers watches the connections of callers that wait for an answer. One look at all of them costs a system call each,
 // where a reader for each connection would cost a goroutine and hold up the next request's bytes.
-type leavers struct {
+type Leavers struct {
 	mu      sync.Mutex
 	waiting map[*waiter]struct{}
 }
@@ -25,14 +20,15 @@
 	cancel context.CancelFunc
 }
 
-func newLeavers() *leavers {
-	return &leavers{
+// NewLeavers returns a watch of no connections; Look has to be called periodically.
+func NewLeavers() *Leavers {
+	return &Leavers{
 		waiting: make(map[*waiter]struct{}),
 	}
 }
 
-// watch returns a context that ends once the caller has left, until the watch is stopped.
-func (l *leavers) watch(conn net.Conn) (ctx context.Context, stop func()) {
+// Watch returns a context that ends once the caller has left, until the watch is stopped.
+func (l *Leavers) Watch(conn net.Conn) (ctx context.Context, stop func()) {
 	ctx, cancel := context.WithCancel(context.Background())
 	w := &waiter{
 		conn:   conn,
@@ -48,12 +44,12 @@
 	}
 }
 
-// look ends the contexts of callers that have left.
-func (l *leavers) look(time.Time) {
+// Look ends the contexts of callers that have left.
+func (l *Leavers) Look(time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for w := range l.waiting {
-		if _, ended := tcp.Peek(w.conn); ended {
+		if _, ended := Peek(w.conn); ended {
 			w.cancel()
 			delete(l.waiting, w)
 		}
--- /dev/null
+++ b/requestkind.go
@@ -0,0 +1,27 @@
+package waxwingpick
+
+// RequestKind says how often a request may run.
+type RequestKind uint8
+
+// The kinds of requests.
+const (
+	// RequestOnce may run at most once.
+	RequestOnce RequestKind = iota
+	// RequestIdempotent may run more than once.
+	RequestIdempotent
+	// RequestStream is answered by events and may run at most once, unless its route lets streams be resumed.
+	RequestStream
+)
+
+// String returns the name used in logs and metrics.
+func (k RequestKind) String() string {
+	switch k {
+	case RequestOnce:
+		return "once"
+	case RequestIdempotent:
+		return "idempotent"
+	case RequestStream:
+		return "stream"
+	}
+	return "unknown"
+}
