--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -12,6 +12,8 @@
 	cache   *cache
 	reading map[*Leg]struct{}
 	running int
+	// peers is what other processes have at the engine.
+	peers map[waxwingpick.InstanceID]peerLoad
 	// freed is when the engine last ended reading a prompt, or got one while it read none.
 	freed time.Time
 }
@@ -20,10 +22,26 @@
 	return &engine{
 		cache:   newCache(capacity),
 		reading: make(map[*Leg]struct{}),
+		peers:   make(map[waxwingpick.InstanceID]peerLoad),
 	}
 }
 
-// ahead is the prompt work at a pace of 1 that a new request waits for.
+// load returns the prompt work at a pace of 1 that a new request waits for, and the requests at the engine, of all
+// processes as far as they are known.
+func (e *engine) load(now time.Time) (work time.Duration, running int) {
+	work, running = e.ahead(now), e.running
+	for _, p := range e.peers {
+		age := now.Sub(p.at)
+		if age > summaryKept {
+			continue
+		}
+		work += max(0, p.work-age)
+		running += p.running
+	}
+	return work, running
+}
+
+// ahead is this process's prompt work at the engine, at a pace of 1.
 func (e *engine) ahead(now time.Time) time.Duration {
 	total := time.Duration(0)
 	for leg := range e.reading {
@@ -53,7 +71,7 @@
 	if !ok {
 		e = newEngine(0)
 	}
-	keys := chain(p)
+	keys, tokens := chain(p)
 	leg := &Leg{
 		engine: e,
 		fleet:  f,
@@ -61,13 +79,14 @@
 		alone:  len(e.reading) == 0,
 	}
 	if !fetched {
-		leg.work = readTime(p.Tokens, e.cache.held(keys, p.Parts)) + milliseconds(callTime)
+		leg.work = readTime(p.Tokens, e.cache.held(keys, tokens)) + milliseconds(callTime)
 		if leg.alone {
 			e.freed = now
 		}
 		e.reading[leg] = struct{}{}
 	}
-	e.cache.use(keys, p.Parts)
+	e.cache.use(keys, tokens)
+	f.noteRead(id, keys, tokens)
 	e.running++
 	return leg
 }
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -62,6 +62,7 @@
 	order   []waxwingpick.TargetID
 	prefill pace
 	decode  pace
+	reads   []told
 }
 
 // New returns a fleet as seen from an availability zone.
@@ -107,8 +108,9 @@
 
 // option is one way to serve a request.
 type option struct {
-	engine *engine
-	held   int
+	engine  *engine
+	held    int
+	running int
 	// wait is the work ahead, read the reading of the prompt.
 	wait time.Duration
 	read time.Duration
@@ -116,7 +118,7 @@
 
 // Choose picks the engines with the earliest first event.
 func (f *Fleet) Choose(now time.Time, d Demand) (Choice, Verdict) {
-	keys := chain(d.Prompt)
+	keys, tokens := chain(d.Prompt)
 	var runners []option
 	var reader *option
 	for _, id := range f.order {
@@ -124,7 +126,7 @@
 		if !f.usable(e, d) {
 			continue
 		}
-		o := f.option(now, e, d, keys)
+		o := f.option(now, e, d, keys, tokens)
 		switch {
 		case e.target.Role != waxwingpick.RolePrefill:
 			runners = append(runners, o)
@@ -147,11 +149,31 @@
 	return choice, VerdictPlaced
 }
 
+// ChooseRun picks the engine that fetches the KV cache which another one holds, and generates.
+func (f *Fleet) ChooseRun(now time.Time, d Demand, reader waxwingpick.Target) (waxwingpick.Target, bool) {
+	keys, tokens := chain(d.Prompt)
+	from := option{
+		engine: &engine{
+			target: reader,
+		},
+	}
+	var runners []option
+	for _, id := range f.order {
+		if e := f.engines[id]; e.target.Role != waxwingpick.RolePrefill && f.usable(e, d) {
+			runners = append(runners, f.option(now, e, d, keys, tokens))
+		}
+	}
+	if len(runners) == 0 {
+		return waxwingpick.Target{}, false
+	}
+	return f.split(d, from, runners).Run, true
+}
+
 // whole picks the engine that reads the prompt and generates.
 func (f *Fleet) whole(runners []option) Choice {
 	best := Choice{}
 	for i, o := range runners {
-		predicted := o.wait + o.read + f.crowding(o.engine)
+		predicted := o.wait + o.read + o.crowding()
 		if i == 0 || predicted < best.Predicted {
 			best = Choice{
 				Run:        o.engine.target,
@@ -167,7 +189,7 @@
 func (f *Fleet) split(d Demand, reader option, runners []option) Choice {
 	best := Choice{}
 	for i, o := range runners {
-		predicted := reader.wait + reader.read + splitCost + f.fetchTime(o, d, reader) + f.crowding(o.engine)
+		predicted := reader.wait + reader.read + splitCost + f.fetchTime(o, d, reader) + o.crowding()
 		if i == 0 || predicted < best.Predicted {
 			best = Choice{
 				Run:        o.engine.target,
@@ -208,21 +230,23 @@
 	return false
 }
 
-func (f *Fleet) option(now time.Time, e *engine, d Demand, keys []prefixKey) option {
-	held := e.cache.held(keys, d.Prompt.Parts)
+func (f *Fleet) option(now time.Time, e *engine, d Demand, keys []uint64, tokens []int) option {
+	held := e.cache.held(keys, tokens)
+	work, running := e.load(now)
 	p := f.paceOf(e.target.Role)
 	return option{
-		engine: e,
-		held:   held,
-		wait:   p.scale(e.ahead(now)),
-		read:   p.scale(readTime(d.Prompt.Tokens, held) + milliseconds(callTime)),
+		engine:  e,
+		held:    held,
+		running: running,
+		wait:    p.scale(work),
+		read:    p.scale(readTime(d.Prompt.Tokens, held) + milliseconds(callTime)),
 	}
 }
 
 // crowding is what the requests that generate at an engine add to each of its steps.
-func (f *Fleet) crowding(e *engine) time.Duration {
-	over := max(0, e.running-e.target.Slots)
-	return time.Duration(e.running)*runningTime + time.Duration(over)*overfullTime
+func (o option) crowding() time.Duration {
+	over := max(0, o.running-o.engine.target.Slots)
+	return time.Duration(o.running)*runningTime + time.Duration(over)*overfullTime
 }
 
 const (
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -6,7 +6,9 @@
 	"errors"
 	"flag"
 	"fmt"
+	"net"
 	"os"
+	"strconv"
 	"time"
 
 	"github.com/google/subcommands"
@@ -14,6 +16,7 @@
 	"waxwingpick/core/timer"
 	"waxwingpick/internal/gateway"
 	"waxwingpick/io/jsonlines"
+	"waxwingpick/io/udp"
 	"waxwingpick/platform"
 )
 
@@ -127,6 +130,11 @@
 		store:   platform.NewStore(boot.Store),
 		targets: targets,
 	}
+	peerAddr := net.JoinHostPort(boot.IP, strconv.Itoa(boot.InternalPort))
+	link, err := udp.Listen(peerAddr)
+	if err != nil {
+		return nil, err
+	}
 	p.gateway, err = gateway.New(gateway.Options{
 		Instance: boot.Instance,
 		Zone:     boot.Zone,
@@ -139,6 +147,9 @@
 			TargetID:      platform.TargetID,
 		},
 		Targets:       targets,
+		Peers:         link,
+		PeerAddr:      peerAddr,
+		KeyValue:      p.store,
 		Timers:        p.timers,
 		Log:           lines.Logger(),
 		Decisions:     lines,
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -49,13 +49,7 @@
 		x.chosen(now, chosen)
 		return chosen, nil
 	}
-	chosen, verdict := x.service.chooseEngines(now, placement.Demand{
-		Prompt:   x.in.Prompt,
-		Priority: x.route.Priority,
-		Aim:      x.in.Arrived.Add(x.route.Aim),
-		Deadline: x.deadline,
-		Exclude:  x.tried,
-	})
+	chosen, verdict := x.service.chooseEngines(now, x.demand())
 	switch verdict {
 	case placement.VerdictPlaced:
 		x.chosen(now, chosen)
@@ -71,39 +65,59 @@
 	panic("unknown verdict of the placement")
 }
 
+func (x *exchange) demand() placement.Demand {
+	return placement.Demand{
+		Prompt:   x.in.Prompt,
+		Priority: x.route.Priority,
+		Aim:      x.in.Arrived.Add(x.route.Aim),
+		Deadline: x.deadline,
+		Exclude:  x.tried,
+	}
+}
+
 func (x *exchange) noTarget(now time.Time) *waxwingpick.Refusal {
 	refusal := waxwingpick.NotRun(waxwingpick.ReasonNoTarget, noTargetRetry, "no target may take the request")
 	x.unplaced(now, placement.VerdictNone, 0, refusal)
 	return refusal
 }
 
-// send makes one attempt and waits for its answer, or for the first event of a stream.
-func (x *exchange) send(chosen pick) sent {
-	d := waxwingpick.Dispatch{
-		Inbound:     x.in,
-		Target:      chosen.run,
-		Priority:    x.route.Priority,
-		ResumeAfter: x.resumeAfter(),
-		Stream:      x.route.Kind == waxwingpick.RequestStream,
-	}
+// send makes one attempt and waits for its answer, or for the first event of a stream. It returns the targets with the
+// one that ran the request, which is known only after its prompt was read elsewhere.
+func (x *exchange) send(chosen pick) (pick, sent) {
+	var source waxwingpick.Option[waxwingpick.KVSource]
 	if reader, ok := chosen.prefill.Get(); ok {
 		kept, s := x.prefill(chosen, reader)
 		if s.refusal != nil {
-			return s
+			return chosen, s
+		}
+		source = waxwingpick.Some(kept.Source)
+		if chosen, ok = x.service.chooseRun(x.process.timers.Now(), x.demand(), chosen); !ok {
+			x.release(source)
+			return chosen, sent{
+				refusal: x.noTarget(x.process.timers.Now()),
+			}
 		}
-		d.Source = waxwingpick.Some(kept.Source)
 	}
-	d.Remaining = x.remaining()
-	reply, err := x.process.options.Targets.Send(x.ctx, d)
+	x.attempts++
+	x.tried = append(x.tried, chosen.run.ID)
+	reply, err := x.process.options.Targets.Send(x.ctx, waxwingpick.Dispatch{
+		Inbound:     x.in,
+		Target:      chosen.run,
+		Remaining:   x.remaining(),
+		Priority:    x.route.Priority,
+		Source:      source,
+		ResumeAfter: x.resumeAfter(),
+		Stream:      x.route.Kind == waxwingpick.RequestStream,
+	})
 	s := x.judge(reply, err)
 	if s.refusal != nil {
-		x.release(d.Source)
+		x.release(source)
 	}
 	if s.refusal == nil && reply.Events != nil {
 		s = x.firstEvent(s)
 	}
 	x.attempted(chosen, s)
-	return s
+	return chosen, s
 }
 
 // resumeAfter returns the event after which the caller wants a stream to go on, where its route allows that.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -249,4 +249,3 @@
 		s.update(byService[name], known)
 	}
 }
-
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -33,6 +33,11 @@
 	Feed     waxwingpick.KeyFeed
 	Catalog  Catalog
 	Targets  waxwingpick.Dispatcher
+	// Peers is the link to other gateways, which find this one at PeerAddr through the key-value service; nil where there
+	// is none.
+	Peers    waxwingpick.PeerLink
+	PeerAddr string
+	KeyValue waxwingpick.KeyValue
 	Timers   waxwingpick.Timers
 	Log      *logrus.Logger
 	// Decisions takes what is decided about requests; nil keeps none of it.
@@ -47,5 +52,8 @@
 	if o.Instance == "" || o.Feed == nil || o.Targets == nil || o.Timers == nil || o.Log == nil {
 		return eris.Wrap(ErrOptions, "instance, feed, targets, timers or log")
 	}
+	if o.Peers != nil && (o.KeyValue == nil || o.PeerAddr == "") {
+		return eris.Wrap(ErrOptions, "key-value service or address of the link to other gateways")
+	}
 	return nil
 }
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -87,6 +89,9 @@
 		})
 	})
 	p.stops = append(p.stops, p.timers.Every(expiryPeriod, p.expireTargets))
+	if p.options.Peers != nil {
+		newGossip(p).start()
+	}
 }
 
 // Drain turns readiness off and waits until no request runs, or ctx ends.
@@ -107,6 +112,11 @@
 		stop()
 	}
 	p.end()
+	if p.options.Peers != nil {
+		if err := p.options.Peers.Close(); err != nil {
+			p.log.WithField("error", err.Error()).Warn("link to other gateways not closed")
+		}
+	}
 	p.loops.Wait()
 	p.log.WithField("cut", running).Info("entry stopped")
 	if running > 0 {
@@ -145,6 +155,13 @@
 	return p.services[name]
 }
 
+// allServices returns what is known of every service.
+func (p *Process) allServices() []*service {
+	p.servicesMu.RLock()
+	defer p.servicesMu.RUnlock()
+	return slices.Collect(maps.Values(p.services))
+}
+
 // newRandom returns a source that differs between processes, so that their jitter does.
 func newRandom() *rand.Rand {
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -79,13 +79,10 @@
 			r.chosen = pick{}
 			return false
 		}
-		x.attempts++
-		x.tried = append(x.tried, chosen.run.ID)
 		x.in.ResumeAfter = r.last
-		r.chosen = chosen
-		r.attempt = x.send(chosen)
+		r.chosen, r.attempt = x.send(chosen)
 		if r.attempt.refusal == nil && r.attempt.reply.Events != nil {
-			x.service.begun(x.process.timers.Now(), chosen)
+			x.service.begun(x.process.timers.Now(), r.chosen)
 			r.rest = r.attempt.first.Bytes
 			r.last = r.attempt.first.ID
 			return true
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -105,9 +105,7 @@
 		if refusal != nil {
 			return x.giveUp(refusal)
 		}
-		x.attempts++
-		x.tried = append(x.tried, chosen.run.ID)
-		s := x.send(chosen)
+		chosen, s := x.send(chosen)
 		if s.answered() && !x.worthRepeating(s) {
 			return x.deliver(chosen, s)
 		}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -84,14 +84,43 @@
 	if verdict != placement.VerdictPlaced {
 		return chosen, verdict
 	}
-	reader, split := choice.Prefill.Get()
-	if split {
+	if reader, split := choice.Prefill.Get(); split {
 		chosen.prefillLeg = s.fleet.Begin(now, reader.ID, d.Prompt, false)
+		return chosen, verdict
 	}
-	chosen.runLeg = s.fleet.Begin(now, choice.Run.ID, d.Prompt, split)
+	chosen.runLeg = s.fleet.Begin(now, choice.Run.ID, d.Prompt, false)
 	return chosen, verdict
 }
 
+// chooseRun picks the engine that fetches the KV cache which was read for a request, as the choice made before the reading
+// may be out of date, and notes that the request is sent to it.
+func (s *service) chooseRun(now time.Time, d placement.Demand, c pick) (pick, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	reader, _ := c.prefill.Get()
+	run, ok := s.fleet.ChooseRun(now, d, reader)
+	if !ok {
+		return c, false
+	}
+	c.run = run
+	c.runLeg = s.fleet.Begin(now, run.ID, d.Prompt, true)
+	return c, true
+}
+
+// summary returns what other processes are to know of this one's requests.
+func (s *service) summary(now time.Time) (placement.Summary, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.Summary(now), s.engines
+}
+
+// observe takes what another process told of its requests.
+func (s *service) observe(now time.Time, peer waxwingpick.InstanceID, told placement.Summary) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet.Observe(now, peer, told)
+}
+
 // chooseTarget picks a target of a plain service and notes that a call is sent to it.
 func (s *service) chooseTarget(now time.Time, exclude []waxwingpick.TargetID) (pick, bool) {
 	s.mu.Lock()
@@ -139,12 +168,12 @@
 func (s *service) ended(now time.Time, c pick, failed bool, told waxwingpick.Option[int]) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c.runLeg == nil {
+	if !s.engines {
 		s.pool.End(now, c.run.ID, failed, told)
-		return
 	}
-	c.runLeg.End(now)
-	if c.prefillLeg != nil {
-		c.prefillLeg.End(now)
+	for _, leg := range []*placement.Leg{c.prefillLeg, c.runLeg} {
+		if leg != nil {
+			leg.End(now)
+		}
 	}
 }
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -33,9 +33,9 @@
 	idleFor time.Duration
 	most    int
 	mu      sync.Mutex
-	closed bool
-	idle   []*conn
-	open   map[*conn]struct{}
+	closed  bool
+	idle    []*conn
+	open    map[*conn]struct{}
 }
 
 // get returns an idle connection that can be used, or a new one.
--- a/internal/http1/tls_test.go
+++ b/internal/http1/tls_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"waxwingpick/internal/standin/ca"
 	"waxwingpick/internal/http1"
+	"waxwingpick/internal/standin/ca"
 )
 
 // joinedConn sends what is written while it holds in one piece.
