--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -23,10 +23,13 @@
 	// Run generates; Prefill reads the prompt before it, where present.
 	Run     waxwingpick.Target
 	Prefill waxwingpick.Option[waxwingpick.Target]
-	// Ahead is the prompt work that the request waits for, Predicted the time to the first event, HeldTokens what the reading engine is thought to keep of the prompt.
+	// Ahead is the prompt work that the request waits for, Predicted the time to its first event, HeldTokens what the
+	// reading engine is thought to keep of the prompt.
 	Ahead      time.Duration
 	Predicted  time.Duration
 	HeldTokens int
+	// cost is Predicted with the time that the reading takes from requests that come later.
+	cost time.Duration
 }
 
 // Verdict is the outcome of a choice that found no engine.
@@ -133,7 +136,7 @@
 		switch {
 		case e.target.Role != waxwingpick.RolePrefill:
 			runners = append(runners, o)
-		case reader == nil || o.wait+o.read < reader.wait+reader.read:
+		case reader == nil || o.cost() < reader.cost():
 			reader = &o
 		}
 	}
@@ -142,11 +145,11 @@
 	}
 	choice := f.whole(runners)
 	if reader != nil {
-		if split := f.split(d, *reader, runners); split.Predicted < choice.Predicted {
+		if split := f.split(d, *reader, runners); split.cost < choice.cost {
 			choice = split
 		}
 	}
-	if now.Add(choice.Predicted).After(d.Deadline) {
+	if now.Add(choice.cost).After(d.Deadline) {
 		return choice, VerdictLate
 	}
 	return choice, VerdictPlaced
@@ -176,13 +179,14 @@
 func (f *Fleet) whole(runners []option) Choice {
 	best := Choice{}
 	for i, o := range runners {
-		predicted := o.wait + o.read + o.crowding()
-		if i == 0 || predicted < best.Predicted {
+		cost := o.cost() + o.crowding()
+		if i == 0 || cost < best.cost {
 			best = Choice{
 				Run:        o.engine.target,
 				Ahead:      o.wait,
-				Predicted:  predicted,
+				Predicted:  o.wait + o.read + o.crowding(),
 				HeldTokens: o.held,
+				cost:       cost,
 			}
 		}
 	}
@@ -193,14 +197,16 @@
 func (f *Fleet) split(d Demand, reader option, runners []option) Choice {
 	best := Choice{}
 	for i, o := range runners {
-		predicted := reader.wait + reader.read + splitCost + f.fetchTime(o, d, reader) + o.crowding()
-		if i == 0 || predicted < best.Predicted {
+		rest := splitCost + f.fetchTime(o, d, reader) + o.crowding()
+		cost := reader.cost() + rest
+		if i == 0 || cost < best.cost {
 			best = Choice{
 				Run:        o.engine.target,
 				Prefill:    waxwingpick.Some(reader.engine.target),
 				Ahead:      reader.wait,
-				Predicted:  predicted,
+				Predicted:  reader.wait + reader.read + rest,
 				HeldTokens: reader.held,
+				cost:       cost,
 			}
 		}
 	}
@@ -248,6 +254,12 @@
 	}
 }
 
+// cost is the time until the prompt is read, and once more what the reading takes: in a burst it delays what comes after
+// it as long, so that a longer wait where a part of the prompt is kept goes before a second reading of it elsewhere.
+func (o option) cost() time.Duration {
+	return o.wait + 2*o.read
+}
+
 // crowding is what the requests that generate at an engine add to each of its steps.
 func (o option) crowding() time.Duration {
 	over := max(0, o.load.running-o.engine.target.Slots)
