gateway: metrics, contract and whole-path tests; a stopping process refuses what may outlast it

Ruled out: the drain by itself, which waited as long as the platform allows. Mend: in the second half of the lame duck period work that may last beyond the end is refused as not run, with a time to come back at once; a new connection leads elsewhere.

--- a/core/drain/gate.go
+++ b/core/drain/gate.go
@@ -16,6 +16,8 @@
 	defaultMovesInFlight = 4
 	defaultMoveRetry     = 5 * time.Second
 	defaultRetryAfter    = time.Second
+	// elsewhereRetryAfter is when to come back to another process, which a new connection leads to.
+	elsewhereRetryAfter = 50 * time.Millisecond
 )
 
 // Phase is how far a target or a process is out of service.
@@ -41,6 +43,7 @@
 	movesInFlight int
 	moveRetry     time.Duration
 	lameDuck      time.Duration
+	end           time.Duration
 
 	mu       sync.Mutex
 	leaving  bool
@@ -86,6 +89,18 @@
 	}
 }
 
+// WithEnd sets how long after its stop a process is ended whatever runs, so that work which may last longer is refused in
+// the second half of the lame duck period; callers have had the time to hear of the stop by then.
+func WithEnd(d time.Duration) Option {
+	return func(g *Gate) error {
+		if d < 0 {
+			return eris.Errorf("end %s after a stop: want at least 0", d)
+		}
+		g.end = d
+		return nil
+	}
+}
+
 // New returns a gate that serves.
 func New(opts ...Option) (*Gate, error) {
 	g := &Gate{
@@ -123,6 +138,18 @@
 	return nil
 }
 
+// EnterFor is Enter for work that is not movable and may last as long as given.
+func (g *Gate) EnterFor(now time.Time, id string, lasts time.Duration) error {
+	g.mu.Lock()
+	stopping := g.stopping && g.end > 0 && now.Sub(g.stopped) >= g.lameDuck/2
+	tooLong := stopping && now.Add(lasts).After(g.stopped.Add(g.end))
+	g.mu.Unlock()
+	if tooLong {
+		return waxwingpick.NotRun(waxwingpick.ReasonStopping, elsewhereRetryAfter, "the process may end before the work does")
+	}
+	return g.Enter(now, id, false)
+}
+
 // Leave lets a piece of work out that ended, whichever way.
 func (g *Gate) Leave(id string) {
 	g.mu.Lock()
--- a/core/drain/gate_test.go
+++ b/core/drain/gate_test.go
@@ -248,3 +248,31 @@
 		g.Leave("a")
 	}
 }
+
+// TestWorkThatOutlastsTheProcessIsRefused replays a stop: a request that came 3.2 s after the signal and took 4 s was cut.
+func TestWorkThatOutlastsTheProcessIsRefused(t *testing.T) {
+	stopped := time.Unix(100, 0)
+	for _, tc := range []struct {
+		name  string
+		after time.Duration
+		lasts time.Duration
+		taken bool
+	}{
+		{name: "long at once", after: 0, lasts: 6 * time.Second, taken: true},
+		{name: "long before callers have heard", after: 2300 * time.Millisecond, lasts: 6 * time.Second, taken: true},
+		{name: "long afterwards", after: 3200 * time.Millisecond, lasts: 6 * time.Second},
+		{name: "short afterwards", after: 3200 * time.Millisecond, lasts: 1500 * time.Millisecond, taken: true},
+		{name: "short at the end", after: 4900 * time.Millisecond, lasts: 100 * time.Millisecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			g, err := drain.New(drain.WithLameDuck(4800*time.Millisecond), drain.WithEnd(7300*time.Millisecond))
+			require.NoError(t, err)
+			require.NoError(t, g.EnterFor(stopped, "before", time.Hour))
+			g.Stop(stopped)
+			err = g.EnterFor(stopped.Add(tc.after), "id", tc.lasts)
+			require.Equal(t, tc.taken, err == nil, "%v", err)
+		})
+	}
+	_, err := drain.New(drain.WithEnd(-1))
+	require.Error(t, err)
+}
--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -12,8 +12,6 @@
 	cache   *cache
 	reading map[*Leg]struct{}
 	running int
-	// tokens are those that the running requests have in the engine's memory.
-	tokens int
 	// peers is what other processes have at the engine.
 	peers map[waxwingpick.InstanceID]peerLoad
 	// freed is when the engine last ended reading a prompt, or got one while it read none.
@@ -33,14 +31,12 @@
 	// work is the prompt work that is not read yet, at a pace of 1.
 	work    time.Duration
 	running int
-	tokens  int
 }
 
 func (e *engine) load(now time.Time) load {
 	all := load{
 		work:    e.ahead(now),
 		running: e.running,
-		tokens:  e.tokens,
 	}
 	for _, p := range e.peers {
 		age := now.Sub(p.at)
@@ -49,7 +45,6 @@
 		}
 		all.work += max(0, p.work-age)
 		all.running += p.running
-		all.tokens += p.tokens
 	}
 	return all
 }
@@ -71,7 +66,6 @@
 	work   time.Duration
 	begun  time.Time
 	alone  bool
-	tokens int
 	read   bool
 	over   bool
 }
@@ -101,8 +95,6 @@
 	e.cache.use(keys, tokens)
 	f.noteRead(id, keys, tokens)
 	e.running++
-	leg.tokens = p.Tokens + p.MaxOutput/2
-	e.tokens += leg.tokens
 	return leg
 }
 
@@ -130,7 +122,6 @@
 	}
 	l.over = true
 	l.engine.running--
-	l.engine.tokens -= l.tokens
 	if _, ok := l.engine.reading[l]; ok {
 		delete(l.engine.reading, l)
 		l.engine.freed = now
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -67,13 +67,21 @@
 	prefill pace
 	decode  pace
 	reads   []told
+	// readings is how often the reading of a prompt counts in its cost.
+	readings int
 }
 
+// costReadings is how often the reading of a prompt counts in its cost: once until its first event, and once more since in
+// a burst it delays what comes after it as long. A longer wait where a part of the prompt is kept then goes before a
+// second reading of it elsewhere.
+const costReadings = 2
+
 // New returns a fleet as seen from an availability zone.
 func New(zone waxwingpick.AvailabilityZone) *Fleet {
 	return &Fleet{
-		zone:    zone,
-		engines: make(map[waxwingpick.TargetID]*engine),
+		zone:     zone,
+		engines:  make(map[waxwingpick.TargetID]*engine),
+		readings: costReadings,
 		prefill: pace{
 			factor: 1,
 			base:   firstBase,
@@ -120,6 +128,8 @@
 	// wait is the work ahead, read the reading of the prompt.
 	wait time.Duration
 	read time.Duration
+	// cost is the wait with the reading as often as it counts.
+	cost time.Duration
 }
 
 // Choose picks the engines with the earliest first event.
@@ -136,7 +146,7 @@
 		switch {
 		case e.target.Role != waxwingpick.RolePrefill:
 			runners = append(runners, o)
-		case reader == nil || o.cost() < reader.cost():
+		case reader == nil || o.cost < reader.cost:
 			reader = &o
 		}
 	}
@@ -180,7 +190,7 @@
 func (f *Fleet) whole(runners []option) Choice {
 	best := Choice{}
 	for i, o := range runners {
-		cost := o.cost() + o.crowding()
+		cost := o.cost + o.crowding()
 		if i == 0 || cost < best.cost {
 			best = Choice{
 				Run:        o.engine.target,
@@ -199,7 +209,7 @@
 	best := Choice{}
 	for i, o := range runners {
 		rest := splitCost + f.fetchTime(o, d, reader) + o.crowding()
-		cost := reader.cost() + rest
+		cost := reader.cost + rest
 		if i == 0 || cost < best.cost {
 			best = Choice{
 				Run:        o.engine.target,
@@ -246,21 +256,17 @@
 	held := e.cache.held(keys, tokens)
 	all := e.load(now)
 	p := f.paceOf(e.target.Role)
+	wait, read := p.scale(all.work), p.base+p.scale(readTime(d.Prompt.Tokens, held))
 	return option{
 		engine: e,
 		held:   held,
 		load:   all,
-		wait:   p.scale(all.work),
-		read:   p.base + p.scale(readTime(d.Prompt.Tokens, held)),
+		wait:   wait,
+		read:   read,
+		cost:   wait + time.Duration(f.readings)*read,
 	}
 }
 
-// cost is the time until the prompt is read, and once more what the reading takes: in a burst it delays what comes after
-// it as long, so that a longer wait where a part of the prompt is kept goes before a second reading of it elsewhere.
-func (o option) cost() time.Duration {
-	return o.wait + 2*o.read
-}
-
 // crowding is what the requests that generate at an engine add to each of its steps.
 func (o option) crowding() time.Duration {
 	over := max(0, o.load.running-o.engine.target.Slots)
--- /dev/null
+++ b/core/placement/placement_test.go
@@ -0,0 +1,190 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"waxwingpick"
+	"waxwingpick/core/routetable"
+)
+
+var start = time.Unix(1000, 0)
+
+func traits() routetable.Engines {
+	return routetable.Engines{
+		Slots:              32,
+		MemoryTokens:       400_000,
+		TokenBytes:         35_000,
+		LinkBytesPerSecond: 25e9,
+	}
+}
+
+func engineTarget(id string, role waxwingpick.Role) waxwingpick.Target {
+	return waxwingpick.Target{
+		ID:     waxwingpick.TargetID(id),
+		Zone:   "here",
+		Slots:  32,
+		Role:   role,
+		Models: []string{"m"},
+	}
+}
+
+func fleetOf(targets ...waxwingpick.Target) *Fleet {
+	f := New("here")
+	f.SetTargets(targets, traits())
+	return f
+}
+
+func demand(shared string, tokens int) Demand {
+	return Demand{
+		Prompt: waxwingpick.Prompt{
+			Model: "m",
+			Parts: []waxwingpick.PromptPart{
+				{
+					ID:     shared,
+					Tokens: tokens,
+				},
+				{
+					ID:     "own",
+					Tokens: 100,
+				},
+			},
+			Tokens:    tokens + 100,
+			MaxOutput: 100,
+		},
+		Aim:      start.Add(time.Second),
+		Deadline: start.Add(4 * time.Second),
+	}
+}
+
+func TestShortPromptsStayOnOneEngine(t *testing.T) {
+	f := fleetOf(engineTarget("p", waxwingpick.RolePrefill), engineTarget("d", waxwingpick.RoleDecode))
+	c, verdict := f.Choose(start, demand("a", 200))
+	require.Equal(t, VerdictPlaced, verdict)
+	require.EqualValues(t, "d", c.Run.ID)
+	_, split := c.Prefill.Get()
+	require.False(t, split)
+}
+
+func TestLongPromptsAreReadApart(t *testing.T) {
+	f := fleetOf(engineTarget("p", waxwingpick.RolePrefill), engineTarget("d", waxwingpick.RoleDecode))
+	c, verdict := f.Choose(start, demand("a", 20_000))
+	require.Equal(t, VerdictPlaced, verdict)
+	reader, split := c.Prefill.Get()
+	require.True(t, split)
+	require.EqualValues(t, "p", reader.ID)
+	require.EqualValues(t, "d", c.Run.ID)
+}
+
+func TestEngineThatKeepsTheBeginningIsChosen(t *testing.T) {
+	f := fleetOf(engineTarget("d1", waxwingpick.RoleDecode), engineTarget("d2", waxwingpick.RoleDecode))
+	leg := f.Begin(start, "d2", demand("a", 20_000), false)
+	leg.Read(start.Add(time.Second))
+	leg.End(start.Add(2 * time.Second))
+	c, _ := f.Choose(start.Add(3*time.Second), demand("a", 20_000))
+	require.EqualValues(t, "d2", c.Run.ID)
+	require.Equal(t, 20_100, c.HeldTokens)
+	other := demand("b", 20_000)
+	c, _ = f.Choose(start.Add(3*time.Second), other)
+	require.Zero(t, c.HeldTokens)
+}
+
+func TestWorkAheadSendsTheNextRequestElsewhere(t *testing.T) {
+	f := fleetOf(engineTarget("d1", waxwingpick.RoleDecode), engineTarget("d2", waxwingpick.RoleDecode))
+	f.Begin(start, "d1", demand("a", 20_000), false)
+	c, _ := f.Choose(start, demand("b", 200))
+	require.EqualValues(t, "d2", c.Run.ID)
+}
+
+func TestWorkOfOtherProcessesCounts(t *testing.T) {
+	one := fleetOf(engineTarget("d1", waxwingpick.RoleDecode), engineTarget("d2", waxwingpick.RoleDecode))
+	two := fleetOf(engineTarget("d1", waxwingpick.RoleDecode), engineTarget("d2", waxwingpick.RoleDecode))
+	one.Begin(start, "d1", demand("a", 20_000), false)
+	two.Observe(start, "one", one.Summary(start))
+	c, _ := two.Choose(start, demand("b", 200))
+	require.EqualValues(t, "d2", c.Run.ID)
+	// The first one now keeps the part, and its work is forgotten once nothing more is heard.
+	c, _ = two.Choose(start.Add(summaryKept+time.Millisecond), demand("a", 20_000))
+	require.EqualValues(t, "d1", c.Run.ID)
+}
+
+func TestReadsAreToldTwice(t *testing.T) {
+	f := fleetOf(engineTarget("d1", waxwingpick.RoleDecode))
+	f.Begin(start, "d1", demand("a", 1000), false)
+	for range readsTold {
+		require.Len(t, f.Summary(start).Reads, 1)
+	}
+	require.Empty(t, f.Summary(start).Reads)
+}
+
+func TestLeavingTriedAndWrongModelAreLeftOut(t *testing.T) {
+	leaving := engineTarget("leaving", waxwingpick.RoleDecode)
+	leaving.Leaving = true
+	foreign := engineTarget("foreign", waxwingpick.RoleDecode)
+	foreign.Models = []string{"n"}
+	f := fleetOf(leaving, foreign, engineTarget("tried", waxwingpick.RoleDecode), engineTarget("p", waxwingpick.RolePrefill))
+	d := demand("a", 200)
+	d.Exclude = []waxwingpick.TargetID{"tried"}
+	_, verdict := f.Choose(start, d)
+	require.Equal(t, VerdictNone, verdict)
+	_, ok := f.ChooseRun(start, d, engineTarget("p", waxwingpick.RolePrefill))
+	require.False(t, ok)
+}
+
+func TestRequestThatWouldBeLateIsRefused(t *testing.T) {
+	f := fleetOf(engineTarget("d", waxwingpick.RoleDecode))
+	for range 20 {
+		f.Begin(start, "d", demand("a", 20_000), false)
+		f.engines["d"].cache = newCache(0)
+	}
+	_, verdict := f.Choose(start, demand("b", 200))
+	require.Equal(t, VerdictLate, verdict)
+}
+
+func TestNewRunOfATargetKeepsNothing(t *testing.T) {
+	f := fleetOf(engineTarget("d", waxwingpick.RoleDecode))
+	f.Begin(start, "d", demand("a", 1000), false).End(start)
+	again := engineTarget("d", waxwingpick.RoleDecode)
+	again.Born = 7
+	f.SetTargets([]waxwingpick.Target{again}, traits())
+	c, _ := f.Choose(start, demand("a", 1000))
+	require.Zero(t, c.HeldTokens)
+}
+
+func TestLegsOfATargetThatIsGoneEndQuietly(t *testing.T) {
+	f := fleetOf(engineTarget("d", waxwingpick.RoleDecode))
+	leg := f.Begin(start, "gone", demand("a", 1000), false)
+	leg.Read(start)
+	leg.End(start)
+	leg.End(start)
+	require.Empty(t, f.Summary(start).Engines)
+}
+
+func TestPaceTellsTheBaseFromTheWork(t *testing.T) {
+	p := pace{
+		factor: 1,
+		base:   firstBase,
+	}
+	for range 200 {
+		p.observe(5*time.Millisecond, 95*time.Millisecond)
+		p.observe(300*time.Millisecond, 690*time.Millisecond)
+	}
+	require.InDelta(t, 2.0, p.factor, 0.05)
+	require.InDelta(t, 85, p.base.Milliseconds(), 6)
+}
+
+func TestCacheDropsTheLeastRecentlyUsed(t *testing.T) {
+	c := newCache(100)
+	c.use([]uint64{1}, []int{60})
+	c.use([]uint64{2}, []int{30})
+	c.use([]uint64{1}, []int{60})
+	c.use([]uint64{3}, []int{40})
+	require.Equal(t, 60, c.held([]uint64{1}, []int{60}))
+	require.Zero(t, c.held([]uint64{2}, []int{30}))
+	// A part is of no use without those before it.
+	require.Zero(t, c.held([]uint64{4, 1}, []int{10, 60}))
+	c.use([]uint64{5}, []int{-5})
+	require.Equal(t, 100, c.used)
+}
--- /dev/null
+++ b/core/placement/replay_test.go
@@ -0,0 +1,246 @@
+package placement
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"waxwingpick"
+)
+
+// rule is a way to place requests that a replay compares.
+type rule struct {
+	name     string
+	shared   bool
+	readings int
+}
+
+// tally is what a replay's requests got.
+type tally struct {
+	asked   int
+	inAim   int
+	late    int
+	refused int
+	// readAgain are the tokens of shared parts that were read although some engine had read them.
+	readAgain int
+}
+
+func (t tally) String() string {
+	return fmt.Sprintf("%d asked, %d in aim, %d late, %d refused, %d tokens read again", t.asked, t.inAim, t.late, t.refused, t.readAgain)
+}
+
+// step is something that happens at a time of a replay.
+type step struct {
+	at time.Time
+	do func(now time.Time)
+}
+
+type steps []step
+
+func (s steps) Len() int           { return len(s) }
+func (s steps) Less(i, j int) bool { return s[i].at.Before(s[j].at) }
+func (s steps) Swap(i, j int)      { s[i], s[j] = s[j], s[i] }
+func (s *steps) Push(x any)        { *s = append(*s, x.(step)) }
+
+func (s *steps) Pop() any {
+	last := (*s)[len(*s)-1]
+	*s = (*s)[:len(*s)-1]
+	return last
+}
+
+// replay is a fleet of engines that read one prompt after the other, and gateways that place requests on them.
+type replay struct {
+	r        *rand.Rand
+	steps    steps
+	gateways []*Fleet
+	free     map[waxwingpick.TargetID]time.Time
+	kept     map[waxwingpick.TargetID]*cache
+	seen     map[uint64]bool
+	tally    tally
+}
+
+const (
+	replayGateways = 5
+	replayThings   = 165
+	replayLength   = 34 * time.Second
+	replayFlip     = 2800 * time.Millisecond
+	replayRunTime  = 600 * time.Millisecond
+)
+
+func newReplay(r rule) *replay {
+	w := &replay{
+		r:    rand.New(rand.NewPCG(7, 7)),
+		free: make(map[waxwingpick.TargetID]time.Time),
+		kept: make(map[waxwingpick.TargetID]*cache),
+		seen: make(map[uint64]bool),
+	}
+	var targets []waxwingpick.Target
+	for i := range 18 {
+		role := waxwingpick.RoleDecode
+		if i%3 == 0 {
+			role = waxwingpick.RolePrefill
+		}
+		t := engineTarget(fmt.Sprint("e", i), role)
+		targets = append(targets, t)
+		w.kept[t.ID] = newCache(300_000)
+	}
+	for range replayGateways {
+		f := fleetOf(targets...)
+		f.readings = r.readings
+		w.gateways = append(w.gateways, f)
+	}
+	return w
+}
+
+func (w *replay) at(t time.Time, do func(now time.Time)) {
+	heap.Push(&w.steps, step{
+		at: t,
+		do: do,
+	})
+}
+
+// run plays an arrival list whose mix flips between long prompts with shared beginnings and short ones.
+func (w *replay) run(r rule) tally {
+	end := start.Add(replayLength)
+	for t := start; t.Before(end); t = t.Add(time.Duration(w.r.ExpFloat64() * float64(time.Second) / 270)) {
+		long := 0.09
+		if t.Sub(start)/replayFlip%2 == 1 {
+			long = 0.2
+		}
+		d := w.demand(t, long)
+		w.at(t, func(now time.Time) {
+			w.arrive(now, d)
+		})
+	}
+	if r.shared {
+		for t := start; t.Before(end); t = t.Add(40 * time.Millisecond) {
+			w.at(t, w.tell)
+		}
+	}
+	for len(w.steps) > 0 {
+		s := heap.Pop(&w.steps).(step)
+		s.do(s.at)
+	}
+	return w.tally
+}
+
+func (w *replay) demand(t time.Time, long float64) Demand {
+	d := demand(fmt.Sprint("quick", w.r.IntN(8)), 60)
+	aim := 400 * time.Millisecond
+	if w.r.Float64() < long {
+		thing := w.r.IntN(replayThings)
+		// The size of a shared part is its own, so that each request names the same.
+		d = demand(fmt.Sprint("long", thing), 6000+thing*90)
+		aim = 800 * time.Millisecond
+	}
+	own := 100 + int(w.r.ExpFloat64()*float64(d.Prompt.Parts[0].Tokens)/4)
+	d.Prompt.Parts[1] = waxwingpick.PromptPart{
+		ID:     fmt.Sprint(w.r.Uint64()),
+		Tokens: own,
+	}
+	d.Prompt.Tokens = d.Prompt.Parts[0].Tokens + own
+	d.Aim, d.Deadline = t.Add(aim), t.Add(4*aim)
+	return d
+}
+
+func (w *replay) arrive(now time.Time, d Demand) {
+	w.tally.asked++
+	f := w.gateways[w.r.IntN(len(w.gateways))]
+	c, verdict := f.Choose(now, d)
+	if verdict != VerdictPlaced {
+		w.tally.refused++
+		return
+	}
+	reader, split := c.Prefill.Get()
+	if !split {
+		reader = c.Run
+	}
+	leg := f.Begin(now, reader.ID, d, false)
+	w.at(w.read(now, reader, d), func(now time.Time) {
+		leg.Read(now)
+		first := now
+		if split {
+			leg.End(now)
+			run, _ := f.ChooseRun(now, d, reader)
+			leg = f.Begin(now, run.ID, d, true)
+			leg.Read(now)
+			keys, tokens := chain(d.Prompt)
+			w.kept[run.ID].use(keys, tokens)
+			first = now.Add(20 * time.Millisecond)
+		}
+		w.count(first, d)
+		w.at(first.Add(replayRunTime), leg.End)
+	})
+}
+
+// read returns when an engine will have read a prompt.
+func (w *replay) read(now time.Time, t waxwingpick.Target, d Demand) time.Time {
+	keys, tokens := chain(d.Prompt)
+	held := w.kept[t.ID].held(keys, tokens)
+	if held == 0 && w.seen[keys[0]] {
+		w.tally.readAgain += tokens[0]
+	}
+	w.seen[keys[0]] = true
+	w.kept[t.ID].use(keys, tokens)
+	took := readTime(d.Prompt.Tokens, held)
+	if t.Role != waxwingpick.RolePrefill {
+		took = time.Duration(decodeSlowdown * float64(took))
+	}
+	begin := w.free[t.ID]
+	if begin.Before(now) {
+		begin = now
+	}
+	w.free[t.ID] = begin.Add(took)
+	return begin.Add(took + firstBase)
+}
+
+func (w *replay) count(first time.Time, d Demand) {
+	switch {
+	case !first.After(d.Aim):
+		w.tally.inAim++
+	case !first.After(d.Deadline):
+		w.tally.late++
+	}
+}
+
+func (w *replay) tell(now time.Time) {
+	for i, f := range w.gateways {
+		s := f.Summary(now)
+		for j, other := range w.gateways {
+			if i != j {
+				other.Observe(now, waxwingpick.InstanceID(fmt.Sprint("g", i)), s)
+			}
+		}
+	}
+}
+
+// TestReplayOfAFlippingMix plays one arrival list by each rule.
+func TestReplayOfAFlippingMix(t *testing.T) {
+	results := make(map[string]tally)
+	for _, r := range []rule{
+		{
+			name:     "alone",
+			readings: 1,
+		},
+		{
+			name:     "shared",
+			shared:   true,
+			readings: 1,
+		},
+		{
+			name:     "sharedReadingTwice",
+			shared:   true,
+			readings: costReadings,
+		},
+	} {
+		results[r.name] = newReplay(r).run(r)
+		t.Logf("%s: %s", r.name, results[r.name])
+	}
+	require.Greater(t, results["shared"].inAim, results["alone"].inAim)
+	require.Greater(t, results["sharedReadingTwice"].inAim, results["shared"].inAim)
+	require.Less(t, results["sharedReadingTwice"].readAgain, results["shared"].readAgain)
+}
--- a/core/placement/summary.go
+++ b/core/placement/summary.go
@@ -27,8 +27,6 @@
 	// WorkMicros is the prompt work that is not read yet, at a pace of 1.
 	WorkMicros int64 `json:"workMicros,omitempty"`
 	Running    int   `json:"running,omitempty"`
-	// Tokens are those that the running requests have in the engine's memory.
-	Tokens int `json:"tokens,omitempty"`
 }
 
 // Read says that an engine reads a prompt, and keeps its parts afterwards.
@@ -48,7 +46,6 @@
 type peerLoad struct {
 	work    time.Duration
 	running int
-	tokens  int
 	at      time.Time
 }
 
@@ -61,7 +58,6 @@
 			Engine:     id,
 			WorkMicros: e.ahead(now).Microseconds(),
 			Running:    e.running,
-			Tokens:     e.tokens,
 		}
 		if load.Running > 0 {
 			s.Engines = append(s.Engines, load)
@@ -94,7 +90,6 @@
 		e.peers[peer] = peerLoad{
 			work:    time.Duration(max(0, l.WorkMicros)) * time.Microsecond,
 			running: max(0, l.Running),
-			tokens:  max(0, l.Tokens),
 			at:      now,
 		}
 	}
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -12,10 +12,13 @@
 	"time"
 
 	"github.com/google/subcommands"
+	"github.com/sourcegraph/conc"
+	"github.com/valyala/fasthttp"
 
 	"waxwingpick/core/timer"
 	"waxwingpick/internal/gateway"
 	"waxwingpick/io/jsonlines"
+	"waxwingpick/io/prometheus"
 	"waxwingpick/io/udp"
 	"waxwingpick/platform"
 )
@@ -29,6 +32,8 @@
 	lameDuckShare = 0.6
 	// killMargin is kept before the process is killed, to end by itself.
 	killMargin = 700 * time.Millisecond
+	// metricsTimeout bounds the reading of a call for the metrics, and the writing of its answer.
+	metricsTimeout = 5 * time.Second
 	// heapShare is the part of the memory limit that the runtime may use; stacks, the kernel's buffers and the code
 	// take the rest.
 	heapShare = 0.6
@@ -40,6 +45,8 @@
 type gatewayCommand struct {
 	path  string
 	level string
+	// metricsPort is where the metrics are served; zero serves none.
+	metricsPort int
 }
 
 // GatewayCommand returns the subcommand that runs an entry on the users' platform.
@@ -55,7 +62,7 @@
 
 // Usage describes the subcommand.
 func (*gatewayCommand) Usage() string {
-	return `waxwingpickd gateway [-settings FILE] [-logLevel LEVEL]
+	return `waxwingpickd gateway [-settings FILE] [-logLevel LEVEL] [-metricsPort PORT]
 
 Runs an entry that sends requests straight to the targets of the users'
 platform, until SIGTERM. The settings file has the platform's format; without
@@ -70,6 +77,7 @@
 // SetFlags defines the subcommand's flags.
 func (c *gatewayCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.path, "settings", "", "the settings file, in the platform's format")
+	f.IntVar(&c.metricsPort, "metricsPort", 0, "the port that serves /metrics; 0 serves none")
 	f.StringVar(&c.level, "logLevel", "info", "the least level of log lines")
 }
 
@@ -92,6 +100,9 @@
 	if err != nil {
 		return err
 	}
+	if c.metricsPort != 0 {
+		boot.Metrics = net.JoinHostPort(boot.IP, strconv.Itoa(c.metricsPort))
+	}
 	limitMemory(int(heapShare * float64(boot.Memory)))
 	lines, err := newLog(c.level)
 	defer closeLog(lines)
@@ -117,6 +128,8 @@
 	gateway  *gateway.Process
 	callers  *platform.Callers
 	balancer *platform.Balancer
+	metrics  *fasthttp.Server
+	work     conc.WaitGroup
 }
 
 func newGatewayProcess(boot platform.Boot, lines *jsonlines.Log) (*gatewayProcess, error) {
@@ -135,6 +148,17 @@
 	if err != nil {
 		return nil, err
 	}
+	metrics, err := prometheus.NewGateway()
+	if err != nil {
+		return nil, err
+	}
+	metrics.LogDropped(lines.Dropped)
+	p.metrics = &fasthttp.Server{
+		Handler:          metrics.Handler(),
+		DisableKeepalive: true,
+		ReadTimeout:      metricsTimeout,
+		WriteTimeout:     metricsTimeout,
+	}
 	p.gateway, err = gateway.New(gateway.Options{
 		Instance: boot.Instance,
 		Zone:     boot.Zone,
@@ -152,9 +176,11 @@
 		KeyValue:      p.store,
 		Timers:        p.timers,
 		Log:           lines.Logger(),
+		Metrics:       metrics,
 		Decisions:     lines,
 		RetryFraction: retryShare * boot.RetryRatio,
 		LameDuck:      time.Duration(lameDuckShare * float64(boot.Grace)),
+		End:           untilEnd(boot.Grace),
 	})
 	if err != nil {
 		return nil, err
@@ -167,18 +193,35 @@
 
 // Start begins to serve.
 func (p *gatewayProcess) Start() error {
+	if p.boot.Metrics != "" {
+		ln, err := net.Listen("tcp", p.boot.Metrics)
+		if err != nil {
+			return fmt.Errorf("listen for metrics: %w", err)
+		}
+		p.work.Go(func() {
+			// Whoever reads the metrics sees a broken listener.
+			_ = p.metrics.Serve(ln)
+		})
+	}
 	p.gateway.Start()
 	return errors.Join(p.balancer.Start(p.boot.Balancer), p.callers.Start(p.boot.Callers))
 }
 
 // Stop lets what runs end, at most until shortly before the platform kills the process.
 func (p *gatewayProcess) Stop(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, max(killMargin, p.boot.Grace-killMargin))
+	ctx, cancel := context.WithTimeout(ctx, untilEnd(p.boot.Grace))
 	defer cancel()
 	p.gateway.Drain(ctx)
 	err := errors.Join(p.callers.Stop(), p.gateway.Stop())
 	p.targets.Close()
 	p.store.Close()
 	p.timers.Close()
-	return errors.Join(err, p.balancer.Stop(ctx))
+	err = errors.Join(err, p.balancer.Stop(ctx), p.metrics.ShutdownWithContext(ctx))
+	p.work.Wait()
+	return err
+}
+
+// untilEnd returns how long after the signal to stop the process ends by itself.
+func untilEnd(grace time.Duration) time.Duration {
+	return max(killMargin, grace-killMargin)
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -248,7 +248,9 @@
 		x.closeAttempt(chosen, s)
 		return x.passOn(chosen, s)
 	}
-	x.service.begun(x.process.timers.Now(), chosen)
+	now := x.process.timers.Now()
+	x.service.begun(now, chosen)
+	x.process.options.Metrics.FirstEvent(x.service.name, now.Sub(x.in.Arrived))
 	return waxwingpick.Outbound{
 		Status:  s.reply.Status,
 		Headers: s.reply.Headers,
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -133,6 +133,7 @@
 		return
 	}
 	p.table.Store(t)
+	p.options.Metrics.Version(t.Version())
 	p.log.WithFields(logrus.Fields{
 		"version":  t.Version(),
 		"revision": revision,
@@ -247,5 +248,12 @@
 		}
 		known, _ := table.Service(name)
 		s.update(byService[name], known)
+		leaving := 0
+		for _, t := range byService[name] {
+			if t.Leaving {
+				leaving++
+			}
+		}
+		p.options.Metrics.Targets(name, len(byService[name])-leaving, leaving)
 	}
 }
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -8,6 +8,7 @@
 
 	"waxwingpick"
 	"waxwingpick/core/routetable"
+	"waxwingpick/io/prometheus"
 )
 
 // ErrOptions says that the options of a process are not complete.
@@ -40,17 +41,20 @@
 	KeyValue waxwingpick.KeyValue
 	Timers   waxwingpick.Timers
 	Log      *logrus.Logger
+	Metrics  *prometheus.Gateway
 	// Decisions takes what is decided about requests; nil keeps none of it.
 	Decisions waxwingpick.DecisionLog
 	// RetryFraction is the share of requests that this process may send once more.
 	RetryFraction float64
 	// LameDuck is how long a stopping process still takes requests, until callers and balancer have gone elsewhere.
 	LameDuck time.Duration
+	// End is how long after its stop the process is ended whatever runs; zero where it is not.
+	End time.Duration
 }
 
 func (o Options) check() error {
-	if o.Instance == "" || o.Feed == nil || o.Targets == nil || o.Timers == nil || o.Log == nil {
-		return eris.Wrap(ErrOptions, "instance, feed, targets, timers or log")
+	if o.Instance == "" || o.Feed == nil || o.Targets == nil || o.Timers == nil || o.Log == nil || o.Metrics == nil {
+		return eris.Wrap(ErrOptions, "instance, feed, targets, timers, log or metrics")
 	}
 	if o.Peers != nil && (o.KeyValue == nil || o.PeerAddr == "") {
 		return eris.Wrap(ErrOptions, "key-value service or address of the link to other gateways")
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -69,7 +69,7 @@
 		services: make(map[waxwingpick.ServiceName]*service),
 	}
 	var err error
-	if p.gate, err = drain.New(drain.WithLameDuck(o.LameDuck)); err != nil {
+	if p.gate, err = drain.New(drain.WithLameDuck(o.LameDuck), drain.WithEnd(o.End)); err != nil {
 		return nil, fmt.Errorf("create drain gate: %w", err)
 	}
 	p.lifecycle, p.end = context.WithCancel(context.Background())
@@ -166,3 +166,8 @@
 func newRandom() *rand.Rand {
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 }
+
+// Running returns the number of requests that run.
+func (p *Process) Running() int {
+	return p.gate.Running()
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -72,12 +72,13 @@
 		deadline: deadlineOf(in, route),
 		gateID:   strconv.FormatUint(gateIDs.Add(1), 10),
 	}
-	if err := p.gate.Enter(now, x.gateID, false); err != nil {
+	if err := p.gate.EnterFor(now, x.gateID, x.deadline.Sub(now)); err != nil {
 		var refusal *waxwingpick.Refusal
 		errors.As(err, &refusal)
 		return p.refuse(t, refusal)
 	}
 	x.ctx, x.cancel = context.WithDeadline(ctx, x.deadline)
+	p.options.Metrics.Began()
 	x.accepted(now, table.Version())
 	return x.run()
 }
@@ -176,6 +177,7 @@
 // refuse answers a request that was turned away before it was taken.
 func (p *Process) refuse(t *trail.Trail, refusal *waxwingpick.Refusal) waxwingpick.Outbound {
 	now := p.timers.Now()
+	p.options.Metrics.Refused(refusal)
 	t.Note(waxwingpick.ActionAccept.Of(now, "refused", waxwingpick.RefusalInputs(refusal)...))
 	t.End(now)
 	return problem(statusOf(refusal), refusal)
--- a/internal/gateway/trails.go
+++ b/internal/gateway/trails.go
@@ -6,6 +6,7 @@
 	"waxwingpick"
 	"waxwingpick/core/placement"
 	"waxwingpick/core/retry"
+	"waxwingpick/io/prometheus"
 )
 
 // accepted notes what a request was taken for, under which configuration.
@@ -59,6 +60,7 @@
 // attempted notes how an attempt ended, or that its stream has begun.
 func (x *exchange) attempted(c pick, s sent) {
 	now := x.process.timers.Now()
+	x.process.options.Metrics.Attempt(x.service.name, s.refusal)
 	inputs := []waxwingpick.Input{
 		waxwingpick.In("target", c.run.ID),
 		waxwingpick.In("status", s.reply.Status),
@@ -79,6 +81,7 @@
 	outcome := "refused"
 	if verdict.Retry {
 		outcome = "retried"
+		x.process.options.Metrics.Retry(refusal.Reason)
 	}
 	inputs := append([]waxwingpick.Input{
 		waxwingpick.In("attempts", x.attempts),
@@ -90,17 +93,38 @@
 // concluded ends the trail with what the caller got.
 func (x *exchange) concluded(refusal *waxwingpick.Refusal) {
 	now := x.process.timers.Now()
+	took := now.Sub(x.in.Arrived)
 	inputs := []waxwingpick.Input{
 		waxwingpick.In("route", x.route.Name),
-		waxwingpick.InMillis("took", now.Sub(x.in.Arrived)),
+		waxwingpick.InMillis("took", took),
 	}
+	result := x.result(refusal)
 	switch {
 	case refusal == nil:
-		x.trail.Add(waxwingpick.ActionAnswer.Of(now, "answered", inputs...))
-	case x.callers.Err() != nil:
-		x.trail.Note(waxwingpick.ActionAnswer.Of(now, "callerLeft", inputs...))
+		x.trail.Add(waxwingpick.ActionAnswer.Of(now, string(result), inputs...))
+	case result == prometheus.ResultLeft:
+		x.trail.Note(waxwingpick.ActionAnswer.Of(now, string(result), inputs...))
 	default:
+		x.process.options.Metrics.Refused(refusal)
 		x.trail.Note(waxwingpick.ActionAnswer.Of(now, "refused", append(inputs, waxwingpick.RefusalInputs(refusal)...)...))
 	}
 	x.trail.End(now)
+	name := waxwingpick.ServiceName("")
+	if x.service != nil {
+		name = x.service.name
+	}
+	x.process.options.Metrics.Ended(name, x.route.Kind, result, took)
+}
+
+// result tells how the request ended for its caller.
+func (x *exchange) result(refusal *waxwingpick.Refusal) prometheus.Result {
+	switch {
+	case refusal == nil:
+		return prometheus.ResultAnswered
+	case x.callers.Err() != nil:
+		return prometheus.ResultLeft
+	case refusal.Outcome == waxwingpick.OutcomeNotRun:
+		return prometheus.ResultNotRun
+	}
+	return prometheus.ResultUnknown
 }
--- a/io/etcd/watch_test.go
+++ b/io/etcd/watch_test.go
@@ -7,14 +7,15 @@
 	"github.com/stretchr/testify/require"
 
 	"waxwingpick"
+	"waxwingpick/internal/kvcontract"
 )
 
 // watching runs a watch and returns its keys and its end.
-func watching(ctx context.Context, s system, prefix string) (keys chan string, ended chan error) {
+func watching(ctx context.Context, s kvcontract.System, prefix string) (keys chan string, ended chan error) {
 	keys = make(chan string, 16)
 	ended = make(chan error, 1)
 	go func() {
-		ended <- s.kv.Watch(ctx, prefix, func(key string) {
+		ended <- s.KV.Watch(ctx, prefix, func(key string) {
 			select {
 			case keys <- key:
 			default:
@@ -25,11 +26,11 @@
 }
 
 // put writes until the watch has seen a key, as the watch opens at a time of its own.
-func put(t *testing.T, s system, key string, keys chan string) {
+func put(t *testing.T, s kvcontract.System, key string, keys chan string) {
 	for {
-		e, err := s.kv.Get(t.Context(), key)
+		e, err := s.KV.Get(t.Context(), key)
 		require.NoError(t, err)
-		_, err = s.kv.CompareAndSwap(t.Context(), key, e.Revision, nil, 0)
+		_, err = s.KV.CompareAndSwap(t.Context(), key, e.Revision, nil, 0)
 		require.NoError(t, err)
 		select {
 		case got := <-keys:
@@ -49,7 +50,7 @@
 			s := tc.make(t)
 			ctx, cancel := context.WithCancel(t.Context())
 			keys, ended := watching(ctx, s, "p/")
-			_, err := s.kv.CompareAndSwap(t.Context(), "q", 0, nil, 0)
+			_, err := s.KV.CompareAndSwap(t.Context(), "q", 0, nil, 0)
 			require.NoError(t, err)
 			put(t, s, "p/1", keys)
 			cancel()
@@ -57,7 +58,7 @@
 
 			keys, ended = watching(t.Context(), s, "p/")
 			put(t, s, "p/2", keys)
-			s.store.SetDown(true)
+			s.Store.SetDown(true)
 			require.ErrorIs(t, <-ended, waxwingpick.ErrUnavailable)
 			_, ended = watching(t.Context(), s, "p/")
 			require.ErrorIs(t, <-ended, waxwingpick.ErrUnavailable)
@@ -71,12 +72,12 @@
 			s := tc.make(t)
 			keys, _ := watching(t.Context(), s, "p/")
 			put(t, s, "p/1", keys)
-			s.store.SetDropEvents(true)
-			_, err := s.kv.CompareAndSwap(t.Context(), "p/dropped", 0, nil, 0)
+			s.Store.SetDropEvents(true)
+			_, err := s.KV.CompareAndSwap(t.Context(), "p/dropped", 0, nil, 0)
 			require.NoError(t, err)
-			s.store.SetDropEvents(false)
+			s.Store.SetDropEvents(false)
 			put(t, s, "p/3", keys)
-			s.store.BreakWatches()
+			s.Store.BreakWatches()
 		})
 	}
 }
--- a/io/prometheus/metrics.go
+++ b/io/prometheus/metrics.go
@@ -177,12 +177,16 @@
 
 // LogDropped shows the log lines of each class that found no room; nothing where dropped is nil.
 func (m *Metrics) LogDropped(dropped func(lane waxwingpick.Lane) uint64) {
+	registerDropped(m.registry, dropped)
+}
+
+func registerDropped(registry *client.Registry, dropped func(lane waxwingpick.Lane) uint64) {
 	if dropped == nil {
 		return
 	}
 	for _, lane := range []waxwingpick.Lane{waxwingpick.LaneKept, waxwingpick.LaneRoutine} {
 		// Only a second log of one process fails here; the first stays shown.
-		_ = m.registry.Register(client.NewCounterFunc(client.CounterOpts{
+		_ = registry.Register(client.NewCounterFunc(client.CounterOpts{
 			Namespace: namespace,
 			Name:      "log_lines_dropped_total",
 			Help:      "Log lines that found no room, by class.",
