--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -93,15 +93,23 @@
 // Close ends the stream, also where the caller left before its end.
 func (r *relay) Close() error {
 	r.once.Do(func() {
-		whole := errors.Is(r.done, io.EOF)
 		if r.chosen.run.ID != "" {
 			r.x.closeAttempt(r.chosen, r.attempt)
 		}
-		var refusal *waxwingpick.Refusal
-		if !whole {
-			refusal = waxwingpick.Unknown(waxwingpick.ReasonTargetLost, "stream was not delivered whole")
-		}
-		r.x.finish(refusal)
+		r.x.finish(r.refusal())
 	})
 	return nil
 }
+
+// refusal says why the stream was not delivered whole; nil where it was.
+func (r *relay) refusal() *waxwingpick.Refusal {
+	switch {
+	case errors.Is(r.done, io.EOF):
+		return nil
+	case r.done == nil:
+		// The edge stopped reading before the end, as its caller takes no more.
+		r.x.left = true
+		return waxwingpick.Unknown(waxwingpick.ReasonTargetLost, "caller left a stream that went on")
+	}
+	return waxwingpick.Unknown(reasonOf(r.done), r.done.Error())
+}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -42,6 +42,8 @@
 	tried    []waxwingpick.TargetID
 	// mayHaveRun says that an attempt was sent that may have run.
 	mayHaveRun bool
+	// left says that the caller stopped taking a stream.
+	left bool
 }
 
 // gateIDs numbers the requests of the process, since callers may send one ID twice.
--- a/internal/gateway/trails.go
+++ b/internal/gateway/trails.go
@@ -121,7 +121,7 @@
 	switch {
 	case refusal == nil:
 		return prometheus.ResultAnswered
-	case x.callers.Err() != nil:
+	case x.left || x.callers.Err() != nil:
 		return prometheus.ResultLeft
 	case refusal.Outcome == waxwingpick.OutcomeNotRun:
 		return prometheus.ResultNotRun
