gateway: an engine that does not read a prompt is not asked for it again

Found by reading: a reading that failed counted as no call, so that the same engine was asked again until the retry budget was spent.

--- a/internal/daemon/gateway_test.go
+++ b/internal/daemon/gateway_test.go
@@ -501,3 +501,21 @@
 		require.NoError(t, <-answers)
 	}
 }
+
+func TestEngineThatDoesNotReadIsPassedOver(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.start()
+	defer s.stop()
+	reader := s.engines[2]
+	reader.SetFaults(target.Faults{
+		Full: true,
+	})
+	// Reading a prompt is no attempt, so that even a route with one attempt goes on with an engine that does both.
+	status, body, whole := s.read(s.ask("id", "/long/a", ""))
+	require.Equal(t, http.StatusOK, status)
+	require.True(t, whole)
+	require.Equal(t, wholeStream(), body)
+	require.Len(t, s.runs(), 1)
+	require.Equal(t, 1, reader.Refused())
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -93,9 +93,11 @@
 // one that ran the request, which is known only after its prompt was read elsewhere.
 func (x *exchange) send(chosen pick) (pick, sent) {
 	var source waxwingpick.Option[waxwingpick.KVSource]
+	x.calls++
 	if reader, ok := chosen.prefill.Get(); ok {
 		kept, s := x.prefill(chosen, reader)
 		if s.refusal != nil {
+			x.tried = append(x.tried, reader.ID)
 			return chosen, s
 		}
 		source = waxwingpick.Some(kept.Source)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -38,7 +38,9 @@
 	deadline time.Time
 	gateID   string
 
+	// attempts counts the sendings that may run the request, calls all of them with the readings of its prompt.
 	attempts int
+	calls    int
 	tried    []waxwingpick.TargetID
 	// mayHaveRun says that an attempt was sent that may have run.
 	mayHaveRun bool
@@ -130,7 +132,7 @@
 		return false
 	}
 	verdict := x.service.decide(now, retry.Attempt{
-		Number:     x.attempts,
+		Number:     x.calls,
 		Refusal:    refusal,
 		Repeatable: x.route.Repeatable(),
 		Deadline:   x.deadline,
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -26,6 +26,7 @@
 	runs    []Run
 	handles map[string]bool
 	next    int
+	refused int
 	faults  Faults
 }
 
@@ -105,6 +106,13 @@
 	return append([]Run(nil), t.runs...)
 }
 
+// Refused returns how many requests the target refused as not run, being full.
+func (t *Target) Refused() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.refused
+}
+
 // Handles returns the number of handles that were neither taken nor freed.
 func (t *Target) Handles() int {
 	t.mu.Lock()
@@ -135,6 +143,9 @@
 		c.Set("Waxwingpick-Instance-Id", t.id)
 		return c.SendStatus(http.StatusMisdirectedRequest)
 	case faults.Full:
+		t.mu.Lock()
+		t.refused++
+		t.mu.Unlock()
 		c.Set("Waxwingpick-Not-Executed", "1")
 		return c.SendStatus(http.StatusServiceUnavailable)
 	case c.Get("Waxwingpick-Serving-Stage") == "prefill":
