placement: whole memory keeps parts, near engines first, work ahead grows threefold in refusals

Conclusion: parts that running requests use are kept with them, so that a smaller memory forgot what was there.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -76,6 +76,10 @@
 // second reading of it elsewhere.
 const costReadings = 2
 
+// aheadGrowth is how many times the known work ahead a request may have to wait for in a burst: more urgent requests that
+// come later are admitted before it, and other gateways choose the same engine before they hear of this choice.
+const aheadGrowth = 3
+
 // New returns a fleet as seen from an availability zone.
 func New(zone waxwingpick.AvailabilityZone) *Fleet {
 	return &Fleet{
@@ -93,9 +97,6 @@
 	}
 }
 
-// cacheShare is the part of an engine's memory that is thought to hold parts of prompts; the rest is for running requests.
-const cacheShare = 0.7
-
 // SetTargets takes the newest list of the service's engines.
 func (f *Fleet) SetTargets(targets []waxwingpick.Target, traits routetable.Engines) {
 	f.traits = traits
@@ -104,7 +105,7 @@
 	for _, t := range targets {
 		e, ok := f.engines[t.ID]
 		if !ok || e.target.Born != t.Born {
-			e = newEngine(int(cacheShare * float64(traits.MemoryTokens)))
+			e = newEngine(traits.MemoryTokens)
 		}
 		e.target = t
 		known[t.ID] = e
@@ -128,7 +129,7 @@
 	// wait is the work ahead, read the reading of the prompt.
 	wait time.Duration
 	read time.Duration
-	// cost is the wait with the reading as often as it counts.
+	// cost is the wait with the reading as often as it counts, and more at an engine of another availability zone.
 	cost time.Duration
 }
 
@@ -159,8 +160,7 @@
 			choice = split
 		}
 	}
-	// More urgent requests that come later go ahead as well, so that the work ahead about doubles in a burst.
-	if now.Add(choice.Predicted + choice.Ahead).After(d.Deadline) {
+	if now.Add(choice.Predicted + (aheadGrowth-1)*choice.Ahead).After(d.Deadline) {
 		return choice, VerdictLate
 	}
 	return choice, VerdictPlaced
@@ -228,6 +228,9 @@
 	// splitCost is the time that a second leg takes besides its transfer: a sending and the set-up of the transfer. It
 	// also keeps prompts from moving where that gains nothing, since moved memory has a price.
 	splitCost = 30 * time.Millisecond
+	// farCost keeps requests in their availability zone where an engine of another one would answer hardly sooner: bytes
+	// between zones have a price, and gateways of different zones then choose the same engine less often.
+	farCost = 30 * time.Millisecond
 	// farFactor is how much longer a transfer between availability zones takes.
 	farFactor = 2
 )
@@ -256,6 +259,10 @@
 	held := e.cache.held(keys, tokens)
 	all := e.load(now)
 	p := f.paceOf(e.target.Role)
+	far := time.Duration(0)
+	if e.target.Zone != f.zone {
+		far = farCost
+	}
 	wait, read := p.scale(all.work), p.base+p.scale(readTime(d.Prompt.Tokens, held))
 	return option{
 		engine: e,
@@ -263,7 +270,7 @@
 		load:   all,
 		wait:   wait,
 		read:   read,
-		cost:   wait + time.Duration(f.readings)*read,
+		cost:   wait + time.Duration(f.readings)*read + far,
 	}
 }
 
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -98,6 +98,21 @@
 	require.EqualValues(t, "d2", c.Run.ID)
 }
 
+func TestNearEngineIsChosenUnlessItIsBusier(t *testing.T) {
+	near, far := engineTarget("near", waxwingpick.RoleDecode), engineTarget("far", waxwingpick.RoleDecode)
+	far.Zone = "there"
+	f := fleetOf(far, near)
+	for i := range 5 {
+		leg := f.Begin(start, "near", demand("a", 10), false)
+		leg.Read(start)
+		c, _ := f.Choose(start, demand("a", 10))
+		require.EqualValues(t, "near", c.Run.ID, "%d running", i)
+	}
+	f.Begin(start, "near", demand("b", 20_000), false)
+	c, _ := f.Choose(start, demand("a", 10))
+	require.EqualValues(t, "far", c.Run.ID)
+}
+
 func TestWorkOfOtherProcessesCounts(t *testing.T) {
 	one := fleetOf(engineTarget("d1", waxwingpick.RoleDecode), engineTarget("d2", waxwingpick.RoleDecode))
 	two := fleetOf(engineTarget("d1", waxwingpick.RoleDecode), engineTarget("d2", waxwingpick.RoleDecode))
--- a/core/placement/replay_test.go
+++ b/core/placement/replay_test.go
@@ -86,7 +86,7 @@
 		}
 		t := engineTarget(fmt.Sprint("e", i), role)
 		targets = append(targets, t)
-		w.kept[t.ID] = newCache(300_000)
+		w.kept[t.ID] = newCache(traits().MemoryTokens)
 	}
 	for range replayGateways {
 		f := fleetOf(targets...)
