--- a/internal/daemon/gateway_test.go
+++ b/internal/daemon/gateway_test.go
@@ -7,12 +7,14 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"waxwingpick"
 	"waxwingpick/internal/loopback"
 	"waxwingpick/internal/standin/store"
 	"waxwingpick/internal/standin/target"
@@ -101,32 +103,49 @@
 
 // start runs the gateway and waits until the balancer would send it callers.
 func (s *site) start() {
+	s.launch(2 * time.Second)
+	require.Eventually(s.t, s.ready, time.Minute, 5*time.Millisecond)
+}
+
+// launch runs the gateway with the time that it has to stop.
+func (s *site) launch(grace time.Duration) {
+	s.boot = bootOf(s.t, "gateway", s.store.Addr(), grace)
+	s.process = launch(s.t, s.boot)
+}
+
+func bootOf(t *testing.T, instance waxwingpick.InstanceID, storeAddr string, grace time.Duration) platform.Boot {
 	free := func() string {
 		addr, err := loopback.Free()
-		require.NoError(s.t, err)
+		require.NoError(t, err)
 		return addr
 	}
-	s.boot = platform.Boot{
-		Instance:    "gateway",
-		Zone:        "zone",
-		IP:          loopback.Host(),
-		Callers:     free(),
-		Balancer:    free(),
-		Store:       s.store.Addr(),
-		Memory:      256 << 20,
-		Descriptors: 4096,
-		Grace:       2 * time.Second,
-		RetryRatio:  1,
+	peers, err := netip.ParseAddrPort(free())
+	require.NoError(t, err)
+	return platform.Boot{
+		Instance:     instance,
+		Zone:         "zone",
+		IP:           loopback.Host(),
+		InternalPort: int(peers.Port()),
+		Callers:      free(),
+		Balancer:     free(),
+		Metrics:      free(),
+		Store:        storeAddr,
+		Memory:       256 << 20,
+		Descriptors:  4096,
+		Grace:        grace,
+		RetryRatio:   1,
 	}
-	lines := jsonlines.New(s.t.Output())
-	s.t.Cleanup(func() {
+}
+
+func launch(t *testing.T, boot platform.Boot) *gatewayProcess {
+	lines := jsonlines.New(t.Output())
+	t.Cleanup(func() {
 		lines.Close(context.Background())
 	})
-	var err error
-	s.process, err = newGatewayProcess(s.boot, lines)
-	require.NoError(s.t, err)
-	require.NoError(s.t, s.process.Start())
-	require.Eventually(s.t, s.ready, time.Minute, 5*time.Millisecond)
+	p, err := newGatewayProcess(boot, lines)
+	require.NoError(t, err)
+	require.NoError(t, p.Start())
+	return p
 }
 
 func (s *site) ready() bool {
@@ -410,26 +429,7 @@
 	t.Parallel()
 	s := newSite(t)
 	s.store.Store().SetDown(true)
-	free := func() string {
-		addr, err := loopback.Free()
-		require.NoError(t, err)
-		return addr
-	}
-	s.boot = platform.Boot{
-		Instance:    "gateway",
-		IP:          loopback.Host(),
-		Callers:     free(),
-		Balancer:    free(),
-		Store:       s.store.Addr(),
-		Descriptors: 4096,
-		Grace:       time.Second,
-	}
-	lines := jsonlines.New(t.Output())
-	defer lines.Close(context.Background())
-	var err error
-	s.process, err = newGatewayProcess(s.boot, lines)
-	require.NoError(t, err)
-	require.NoError(t, s.process.Start())
+	s.launch(time.Second)
 	defer s.stop()
 	require.False(t, s.ready())
 	resp, err := s.ask("id", "/read/1", "")
@@ -519,3 +519,25 @@
 	require.Len(t, s.runs(), 1)
 	require.Equal(t, 1, reader.Refused())
 }
+
+// TestGatewaysFindEachOther starts a second gateway and reads from the metrics of both that they tell each other load.
+func TestGatewaysFindEachOther(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.start()
+	defer s.stop()
+	other := launch(t, bootOf(t, "other", s.store.Addr(), time.Second))
+	defer func() {
+		require.NoError(t, other.Stop(context.Background()))
+	}()
+	for _, boot := range []platform.Boot{s.boot, other.boot} {
+		require.Eventually(t, func() bool {
+			resp, err := s.http.Get("http://" + boot.Metrics + "/metrics")
+			if err != nil {
+				return false
+			}
+			status, body, whole := s.read(resp, nil)
+			return status == http.StatusOK && whole && strings.Contains(body, "waxwingpick_gateway_peers 1\n")
+		}, time.Minute, 10*time.Millisecond)
+	}
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -9,7 +9,6 @@
 
 	"waxwingpick"
 	"waxwingpick/core/placement"
-	"waxwingpick/core/timer"
 )
 
 const (
@@ -248,7 +247,7 @@
 	x.service.answered()
 	if s.reply.Events == nil {
 		x.closeAttempt(chosen, s)
-		return x.passOn(chosen, s)
+		return x.passOn(s)
 	}
 	now := x.process.timers.Now()
 	x.service.begun(now, chosen)
@@ -261,7 +260,7 @@
 }
 
 // passOn hands over a whole answer.
-func (x *exchange) passOn(_ pick, s sent) waxwingpick.Outbound {
+func (x *exchange) passOn(s sent) waxwingpick.Outbound {
 	x.finish(nil)
 	return waxwingpick.Outbound{
 		Status:  s.reply.Status,
@@ -269,7 +268,3 @@
 		Body:    s.reply.Body,
 	}
 }
-
-func sleep(ctx context.Context, timers waxwingpick.Timers, d time.Duration) bool {
-	return timer.Sleep(ctx, timers, d)
-}
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -97,6 +97,7 @@
 	changed := !slices.Equal(g.peers, peers)
 	g.peers = peers
 	g.mu.Unlock()
+	g.process.options.Metrics.Peers(len(peers))
 	if changed {
 		g.process.log.WithFields(logrus.Fields{
 			"gateways": len(peers),
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -13,6 +13,7 @@
 	"waxwingpick"
 	"waxwingpick/core/retry"
 	"waxwingpick/core/routetable"
+	"waxwingpick/core/timer"
 	"waxwingpick/core/trail"
 )
 
@@ -118,7 +119,7 @@
 		x.mayHaveRun = x.mayHaveRun || s.refusal.Outcome != waxwingpick.OutcomeNotRun
 		if !x.again(s.refusal) {
 			if s.answered() {
-				return x.passOn(chosen, s)
+				return x.passOn(s)
 			}
 			return x.giveUp(s.refusal)
 		}
@@ -138,11 +139,7 @@
 		Deadline:   x.deadline,
 	})
 	x.judged(now, refusal, verdict)
-	return verdict.Retry && x.pause(verdict.Delay)
-}
-
-func (x *exchange) pause(d time.Duration) bool {
-	return d <= 0 || sleep(x.ctx, x.process.timers, d)
+	return verdict.Retry && timer.Sleep(x.ctx, x.process.timers, verdict.Delay)
 }
 
 // worthRepeating reports whether another target may do better than a failure that this one answered.
--- a/io/prometheus/gateway.go
+++ b/io/prometheus/gateway.go
@@ -26,6 +26,7 @@
 	attempts   *client.CounterVec
 	running    client.Gauge
 	version    client.Gauge
+	peers      client.Gauge
 	targets    *client.GaugeVec
 }
 
@@ -41,10 +42,11 @@
 		attempts:   counter("gateway_attempts_total", "Sendings to targets by how they ended.", "service", "result"),
 		running:    single("gateway_running", "Requests that run."),
 		version:    single("gateway_routes_version", "Version of the configuration in force."),
+		peers:      single("gateway_peers", "Other gateways that load is told to."),
 		targets:    gauge("gateway_targets", "Targets of the platform's list by state.", "service", "state"),
 	}
 	for _, c := range []client.Collector{
-		g.requests, g.answers, g.firstEvent, g.refused, g.retries, g.attempts, g.running, g.version, g.targets,
+		g.requests, g.answers, g.firstEvent, g.refused, g.retries, g.attempts, g.running, g.version, g.peers, g.targets,
 	} {
 		if err := g.registry.Register(c); err != nil {
 			return nil, fmt.Errorf("register metrics: %w", err)
@@ -106,6 +108,11 @@
 	g.version.Set(float64(version))
 }
 
+// Peers sets the number of other gateways that load is told to.
+func (g *Gateway) Peers(n int) {
+	g.peers.Set(float64(n))
+}
+
 // Targets sets the targets of a service that take requests and those that leave.
 func (g *Gateway) Targets(service waxwingpick.ServiceName, ready, leaving int) {
 	label := g.services.label(string(service))
