httpserver: a connection that goes idle after the stop is closed

Trace: the answer was read before the server noted the connection as idle, so that the stop passed it over. Ruled out: load (a state that the stop did not wait for). Mend: after the stop a connection is closed as it goes idle. The test 3,000 times under the race detector, and 2,000 times beside six busy processes: passed.

--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -15,8 +15,9 @@
 	ln     net.Listener
 	wg     conc.WaitGroup
 
-	mu   sync.Mutex
-	idle map[net.Conn]struct{}
+	mu      sync.Mutex
+	idle    map[net.Conn]struct{}
+	stopped bool
 }
 
 // New returns a server that does not listen yet; the library's server belongs to it from then on.
@@ -38,7 +39,7 @@
 	})
 }
 
-// Stop stops listening and closes the connections on which no request runs.
+// Stop stops listening and closes the connections on which no request runs; the others are closed after their requests.
 func (s *Server) Stop() error {
 	if s.ln == nil {
 		return nil
@@ -46,8 +47,6 @@
 	err := s.ln.Close()
 	s.closeIdle()
 	s.wg.Wait()
-	// Connections that were accepted meanwhile are known by now.
-	s.closeIdle()
 	if err != nil {
 		return fmt.Errorf("stop listening: %w", err)
 	}
@@ -57,6 +56,7 @@
 func (s *Server) closeIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.stopped = true
 	for conn := range s.idle {
 		conn.Close()
 	}
@@ -68,6 +68,10 @@
 	defer s.mu.Unlock()
 	switch state {
 	case fasthttp.StateNew, fasthttp.StateIdle:
+		if s.stopped {
+			conn.Close()
+			return
+		}
 		s.idle[conn] = struct{}{}
 	case fasthttp.StateActive, fasthttp.StateHijacked, fasthttp.StateClosed:
 		delete(s.idle, conn)
