gateway: ready once the services have their targets

Trace: 'service has no targets' 1 ms after 'configuration in force'; readiness looked at the configuration and the list, not at what requests use. Ruled out: load. Test failed first; the gateway's whole-path tests four times under the race detector: passed.

--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -256,4 +256,7 @@
 		}
 		p.options.Metrics.Targets(name, len(byService[name])-leaving, leaving)
 	}
+	if p.listed {
+		p.known.Store(true)
+	}
 }
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -45,6 +45,8 @@
 	listMu sync.Mutex
 	list   *targetlist.List
 	listed bool
+	// known says that the targets were handed to the services of a configuration, so that requests find them.
+	known atomic.Bool
 
 	servicesMu sync.RWMutex
 	services   map[waxwingpick.ServiceName]*service
@@ -130,7 +132,7 @@
 	switch {
 	case !p.gate.Ready():
 		return fmt.Errorf("%w: stopping", errNotReady)
-	case !p.learned():
+	case !p.known.Load():
 		return fmt.Errorf("%w: configuration or targets not known", errNotReady)
 	}
 	return nil
@@ -141,13 +143,6 @@
 	return !p.gate.Ready()
 }
 
-// learned reports whether the configuration and the targets are known.
-func (p *Process) learned() bool {
-	p.listMu.Lock()
-	defer p.listMu.Unlock()
-	return p.listed && p.table.Load() != nil
-}
-
 // service returns what is known of a service's targets; nil where the configuration does not name it.
 func (p *Process) service(name waxwingpick.ServiceName) *service {
 	p.servicesMu.RLock()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -57,7 +57,7 @@
 	now := p.timers.Now()
 	t := p.trails.Begin(in.ID)
 	table := p.table.Load()
-	if table == nil || !p.learned() {
+	if table == nil || !p.known.Load() {
 		return p.refuse(t, waxwingpick.NotRun(waxwingpick.ReasonNotReady, notReadyRetry, "configuration or targets not known yet"))
 	}
 	route, ok := table.Match(in.Host, in.Path)
