--- a/core/placement/cache.go
+++ b/core/placement/cache.go
@@ -2,26 +2,35 @@
 
 import (
 	"container/list"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
 	"waxwingpick"
 )
 
-// chain returns a key for each part of a prompt, which identifies it together with all parts before it and the model, and
-// the parts' sizes.
-func chain(p waxwingpick.Prompt) (keys []uint64, tokens []int) {
-	keys = make([]uint64, 0, len(p.Parts))
-	tokens = make([]int, 0, len(p.Parts))
+// Parts are a prompt's parts: a key for each, which identifies it together with all parts before it and the model, and
+// their sizes.
+type Parts struct {
+	keys   []uint64
+	tokens []int
+}
+
+// PartsOf returns the parts of a prompt.
+func PartsOf(p waxwingpick.Prompt) Parts {
+	parts := Parts{
+		keys:   make([]uint64, 0, len(p.Parts)),
+		tokens: make([]int, 0, len(p.Parts)),
+	}
 	digest := xxhash.New()
 	// Writing to a digest never fails.
 	_, _ = digest.WriteString(p.Model)
 	for _, part := range p.Parts {
 		_, _ = digest.WriteString("/" + part.ID)
-		keys = append(keys, digest.Sum64())
-		tokens = append(tokens, part.Tokens)
+		parts.keys = append(parts.keys, digest.Sum64())
+		parts.tokens = append(parts.tokens, max(0, part.Tokens))
 	}
-	return keys, tokens
+	return parts
 }
 
 // cache estimates which parts an engine keeps, from what was sent there: the least recently used ones yield.
@@ -46,30 +55,30 @@
 }
 
 // held returns the tokens of a prompt's beginning that the engine keeps.
-func (c *cache) held(keys []uint64, tokens []int) int {
+func (c *cache) held(p Parts) int {
 	held := 0
-	for i, key := range keys {
+	for i, key := range p.keys {
 		if _, ok := c.entries[key]; !ok {
 			break
 		}
-		held += tokens[i]
+		held += p.tokens[i]
 	}
 	return held
 }
 
 // use notes that the engine reads or uses a prompt's parts.
-func (c *cache) use(keys []uint64, tokens []int) {
+func (c *cache) use(p Parts) {
 	// A part is of no use without those before it, so the first ones are kept longest.
-	for i := len(keys) - 1; i >= 0; i-- {
-		if e, ok := c.entries[keys[i]]; ok {
+	for i, key := range slices.Backward(p.keys) {
+		if e, ok := c.entries[key]; ok {
 			c.order.MoveToFront(e)
 			continue
 		}
-		c.entries[keys[i]] = c.order.PushFront(cached{
-			key:    keys[i],
-			tokens: max(0, tokens[i]),
+		c.entries[key] = c.order.PushFront(cached{
+			key:    key,
+			tokens: p.tokens[i],
 		})
-		c.used += max(0, tokens[i])
+		c.used += p.tokens[i]
 	}
 	for c.used > c.capacity && c.order.Len() > 0 {
 		oldest := c.order.Remove(c.order.Back()).(cached)
--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -4,13 +4,17 @@
 	"time"
 
 	"waxwingpick"
+	"waxwingpick/core/ejection"
 )
 
 // engine is what is known of one engine.
 type engine struct {
-	target  waxwingpick.Target
-	cache   *cache
-	reading map[*Leg]struct{}
+	target waxwingpick.Target
+	cache  *cache
+	memory memory
+	// pending are the legs that wait for the end of their reading, or of their transfer.
+	pending map[*Leg]struct{}
+	answers ejection.Target
 	running int
 	// peers is what other processes have at the engine.
 	peers map[waxwingpick.InstanceID]peerLoad
@@ -21,7 +25,8 @@
 func newEngine(capacity int) *engine {
 	return &engine{
 		cache:   newCache(capacity),
-		reading: make(map[*Leg]struct{}),
+		memory:  newMemory(),
+		pending: make(map[*Leg]struct{}),
 		peers:   make(map[waxwingpick.InstanceID]peerLoad),
 	}
 }
@@ -31,12 +36,27 @@
 	// work is the prompt work that is not read yet, at a pace of 1.
 	work    time.Duration
 	running int
+	// overdue is how much longer than predicted the request waits already that waits longest.
+	overdue time.Duration
+	// occupied are the tokens in memory by the priority of their requests.
+	occupied [priorities]int
+}
+
+// upTo returns the tokens in memory of requests that are at least as urgent as a priority.
+func (l load) upTo(priority int) int {
+	total := 0
+	for _, tokens := range l.occupied[:rank(priority)+1] {
+		total += tokens
+	}
+	return total
 }
 
 func (e *engine) load(now time.Time) load {
 	all := load{
-		work:    e.ahead(now),
-		running: e.running,
+		work:     e.ahead(now),
+		running:  e.running,
+		overdue:  e.overdue(now),
+		occupied: e.memory.taken,
 	}
 	for _, p := range e.peers {
 		age := now.Sub(p.at)
@@ -45,6 +65,10 @@
 		}
 		all.work += max(0, p.work-age)
 		all.running += p.running
+		all.overdue = max(all.overdue, p.overdue)
+		for rank, tokens := range p.occupied {
+			all.occupied[rank] += tokens
+		}
 	}
 	return all
 }
@@ -53,77 +77,126 @@
 // that run are read side by side, so work of every priority counts.
 func (e *engine) ahead(now time.Time) time.Duration {
 	total := time.Duration(0)
-	for leg := range e.reading {
+	for leg := range e.pending {
 		total += leg.work
 	}
 	return max(0, total-now.Sub(e.freed))
 }
 
+// reads reports whether a request of this process waits for the reading of its prompt.
+func (e *engine) reads() bool {
+	for leg := range e.pending {
+		if leg.work > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// overdue returns how much longer than predicted this process's request waits that waits longest: the engine is silent, or
+// busy with what this process has not heard of.
+func (e *engine) overdue(now time.Time) time.Duration {
+	most := time.Duration(0)
+	for leg := range e.pending {
+		most = max(most, now.Sub(leg.begun)-leg.predicted)
+	}
+	return max(0, most-overdueSlack)
+}
+
+// overdueSlack is how far predictions are off without a reason.
+const overdueSlack = 100 * time.Millisecond
+
 // Leg is one sending of a request to an engine.
 type Leg struct {
 	engine *engine
 	fleet  *Fleet
+	parts  Parts
 	work   time.Duration
-	begun  time.Time
-	alone  bool
-	read   bool
-	over   bool
+	// predicted is the wait for the first event, or for the end of the reading.
+	predicted time.Duration
+	begun     time.Time
+	alone     bool
+	read      bool
+	over      bool
 }
 
 // Begin notes that a request is sent to an engine, which reads its prompt beyond what it keeps, or nothing of it where
 // the KV cache is fetched.
 func (f *Fleet) Begin(now time.Time, id waxwingpick.TargetID, d Demand, fetched bool) *Leg {
-	p := d.Prompt
 	e, ok := f.engines[id]
 	if !ok {
 		e = newEngine(0)
 	}
-	keys, tokens := chain(p)
+	e.answers.Begin(now)
+	before := f.option(now, e, d)
 	leg := &Leg{
-		engine: e,
-		fleet:  f,
-		begun:  now,
-		alone:  len(e.reading) == 0,
+		engine:    e,
+		fleet:     f,
+		parts:     d.Parts,
+		predicted: before.wait + before.room,
+		begun:     now,
+		alone:     !e.reads(),
 	}
-	if !fetched {
-		leg.work = readTime(p.Tokens, e.cache.held(keys, tokens))
+	if fetched {
+		leg.predicted += splitCost
+	} else {
+		leg.predicted += before.read
+		leg.work = readTime(d.Prompt.Tokens, before.held)
 		if leg.alone {
 			e.freed = now
 		}
-		e.reading[leg] = struct{}{}
 	}
-	e.cache.use(keys, tokens)
-	f.noteRead(id, keys, tokens)
+	e.pending[leg] = struct{}{}
+	e.cache.use(d.Parts)
+	e.memory.take(d.Parts, d.Priority)
+	f.noteRead(id, d.Parts)
 	e.running++
 	return leg
 }
 
-// Read notes that the engine has read the prompt.
+// Read notes that the engine has read the prompt, or fetched what was read of it.
 func (l *Leg) Read(now time.Time) {
 	if l.read {
 		return
 	}
 	l.read = true
-	if _, ok := l.engine.reading[l]; !ok {
-		return
-	}
-	delete(l.engine.reading, l)
-	l.engine.freed = now
-	if l.alone {
+	l.engine.answers.Answered()
+	if l.done(now) && l.alone && l.work > 0 {
 		// Only work that waited for none of ours tells how fast an engine reads.
 		l.fleet.paceOf(l.engine.target.Role).observe(l.work, now.Sub(l.begun))
 	}
 }
 
+// done ends the wait for the first event, and reports whether it had not ended before.
+func (l *Leg) done(now time.Time) bool {
+	if _, ok := l.engine.pending[l]; !ok {
+		return false
+	}
+	delete(l.engine.pending, l)
+	if l.work > 0 {
+		l.engine.freed = now
+	}
+	return true
+}
+
+// Unreachable notes that the engine took no connection.
+func (l *Leg) Unreachable(now time.Time) {
+	l.engine.answers.Unreachable(now)
+}
+
+// Lost notes that the engine took the request and gave no answer.
+func (l *Leg) Lost(now time.Time) {
+	l.engine.answers.Lost(now)
+}
+
 // End notes that the engine has no more to do for the request.
 func (l *Leg) End(now time.Time) {
 	if l.over {
 		return
 	}
 	l.over = true
+	l.done(now)
 	l.engine.running--
-	if _, ok := l.engine.reading[l]; ok {
-		delete(l.engine.reading, l)
-		l.engine.freed = now
-	}
+	l.engine.memory.drop(l.parts)
+	l.fleet.resided(l, now)
 }
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -9,10 +9,11 @@
 
 // Demand is a model request that looks for engines.
 type Demand struct {
-	Prompt   waxwingpick.Prompt
+	Prompt waxwingpick.Prompt
+	// Parts are those of Prompt.
+	Parts    Parts
 	Priority int
-	// Aim is when the first event is to be there at the latest to be fully useful, Deadline when it is of no use any more.
-	Aim      time.Time
+	// Deadline is when the first event is of no use any more.
 	Deadline time.Time
 	// Exclude holds the engines that were tried before.
 	Exclude []waxwingpick.TargetID
@@ -67,6 +68,8 @@
 	prefill pace
 	decode  pace
 	reads   []told
+	// resides is how long requests occupy memory at engines that generate.
+	resides residence
 	// readings is how often the reading of a prompt counts in its cost.
 	readings int
 }
@@ -86,6 +89,9 @@
 		zone:     zone,
 		engines:  make(map[waxwingpick.TargetID]*engine),
 		readings: costReadings,
+		resides: residence{
+			mean: firstResidence,
+		},
 		prefill: pace{
 			factor: 1,
 			base:   firstBase,
@@ -129,34 +135,48 @@
 	// wait is the work ahead, read the reading of the prompt.
 	wait time.Duration
 	read time.Duration
+	// room is the wait for memory behind requests that are at least as urgent, roomAll that behind all.
+	room    time.Duration
+	roomAll time.Duration
 	// cost is the wait with the reading as often as it counts, and more at an engine of another availability zone.
 	cost time.Duration
 }
 
-// Choose picks the engines with the earliest first event.
-func (f *Fleet) Choose(now time.Time, d Demand) (Choice, Verdict) {
-	keys, tokens := chain(d.Prompt)
-	var runners []option
-	var reader *option
-	for _, id := range f.order {
-		e := f.engines[id]
-		if !f.usable(e, d) {
-			continue
+// options returns the ways to have a request run, and the best one to have its prompt read apart. Engines that give no
+// answers are left out unless no other one runs requests.
+func (f *Fleet) options(now time.Time, d Demand) (runners []option, reader waxwingpick.Option[option]) {
+	for _, all := range []bool{false, true} {
+		for _, id := range f.order {
+			e := f.engines[id]
+			if !f.usable(e, d) || !all && e.answers.Out(now) {
+				continue
+			}
+			o := f.option(now, e, d)
+			best, some := reader.Get()
+			switch {
+			case e.target.Role != waxwingpick.RolePrefill:
+				runners = append(runners, o)
+			case !some || o.cost < best.cost:
+				reader = waxwingpick.Some(o)
+			}
 		}
-		o := f.option(now, e, d, keys, tokens)
-		switch {
-		case e.target.Role != waxwingpick.RolePrefill:
-			runners = append(runners, o)
-		case reader == nil || o.cost < reader.cost:
-			reader = &o
+		if len(runners) > 0 {
+			return runners, reader
 		}
+		reader = waxwingpick.None[option]()
 	}
+	return nil, reader
+}
+
+// Choose picks the engines with the earliest first event.
+func (f *Fleet) Choose(now time.Time, d Demand) (Choice, Verdict) {
+	runners, reader := f.options(now, d)
 	if len(runners) == 0 {
 		return Choice{}, VerdictNone
 	}
 	choice := f.whole(runners)
-	if reader != nil {
-		if split := f.split(d, *reader, runners); split.cost < choice.cost {
+	if o, ok := reader.Get(); ok {
+		if split := f.split(d, o, runners); split.cost < choice.cost {
 			choice = split
 		}
 	}
@@ -168,18 +188,12 @@
 
 // ChooseRun picks the engine that fetches the KV cache which another one holds, and generates.
 func (f *Fleet) ChooseRun(now time.Time, d Demand, reader waxwingpick.Target) (waxwingpick.Target, bool) {
-	keys, tokens := chain(d.Prompt)
 	from := option{
 		engine: &engine{
 			target: reader,
 		},
 	}
-	var runners []option
-	for _, id := range f.order {
-		if e := f.engines[id]; e.target.Role != waxwingpick.RolePrefill && f.usable(e, d) {
-			runners = append(runners, f.option(now, e, d, keys, tokens))
-		}
-	}
+	runners, _ := f.options(now, d)
 	if len(runners) == 0 {
 		return waxwingpick.Target{}, false
 	}
@@ -190,12 +204,12 @@
 func (f *Fleet) whole(runners []option) Choice {
 	best := Choice{}
 	for i, o := range runners {
-		cost := o.cost + o.crowding()
+		cost := o.cost + o.roomAll + o.crowding()
 		if i == 0 || cost < best.cost {
 			best = Choice{
 				Run:        o.engine.target,
 				Ahead:      o.wait,
-				Predicted:  o.wait + o.read + o.crowding(),
+				Predicted:  o.wait + o.read + o.room + o.crowding(),
 				HeldTokens: o.held,
 				cost:       cost,
 			}
@@ -208,14 +222,14 @@
 func (f *Fleet) split(d Demand, reader option, runners []option) Choice {
 	best := Choice{}
 	for i, o := range runners {
-		rest := splitCost + f.fetchTime(o, d, reader) + o.crowding()
-		cost := reader.cost + rest
+		rest := splitCost + f.fetchTime(o, d, reader) + o.wait + o.crowding()
+		cost := reader.cost + o.roomAll + rest
 		if i == 0 || cost < best.cost {
 			best = Choice{
 				Run:        o.engine.target,
 				Prefill:    waxwingpick.Some(reader.engine.target),
 				Ahead:      reader.wait,
-				Predicted:  reader.wait + reader.read + rest,
+				Predicted:  reader.wait + reader.read + o.room + rest,
 				HeldTokens: reader.held,
 				cost:       cost,
 			}
@@ -255,23 +269,38 @@
 	return false
 }
 
-func (f *Fleet) option(now time.Time, e *engine, d Demand, keys []uint64, tokens []int) option {
-	held := e.cache.held(keys, tokens)
+func (f *Fleet) option(now time.Time, e *engine, d Demand) option {
+	held := e.cache.held(d.Parts)
 	all := e.load(now)
 	p := f.paceOf(e.target.Role)
 	far := time.Duration(0)
 	if e.target.Zone != f.zone {
 		far = farCost
 	}
-	wait, read := p.scale(all.work), p.base+p.scale(readTime(d.Prompt.Tokens, held))
+	need := e.memory.need(d.Parts)
+	wait, read := p.scale(all.work)+all.overdue, p.base+p.scale(readTime(d.Prompt.Tokens, held))
 	return option{
-		engine: e,
-		held:   held,
-		load:   all,
-		wait:   wait,
-		read:   read,
-		cost:   wait + time.Duration(f.readings)*read + far,
+		engine:  e,
+		held:    held,
+		load:    all,
+		wait:    wait,
+		read:    read,
+		room:    f.resides.wait(all.upTo(d.Priority), need, f.traits.MemoryTokens),
+		roomAll: f.resides.wait(all.upTo(priorities-1), need, f.traits.MemoryTokens),
+		cost:    wait + time.Duration(f.readings)*read + far,
+	}
+}
+
+// resided notes how long a request occupied memory at an engine that generates.
+func (f *Fleet) resided(l *Leg, now time.Time) {
+	if !l.read || l.engine.target.Role == waxwingpick.RolePrefill || f.traits.MemoryTokens <= 0 {
+		return
+	}
+	tokens := 0
+	for _, n := range l.parts.tokens {
+		tokens += n
 	}
+	f.resides.observe(now.Sub(l.begun), float64(tokens)/float64(f.traits.MemoryTokens))
 }
 
 // crowding is what the requests that generate at an engine add to each of its steps.
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -38,23 +38,24 @@
 }
 
 func demand(shared string, tokens int) Demand {
-	return Demand{
-		Prompt: waxwingpick.Prompt{
-			Model: "m",
-			Parts: []waxwingpick.PromptPart{
-				{
-					ID:     shared,
-					Tokens: tokens,
-				},
-				{
-					ID:     "own",
-					Tokens: 100,
-				},
+	prompt := waxwingpick.Prompt{
+		Model: "m",
+		Parts: []waxwingpick.PromptPart{
+			{
+				ID:     shared,
+				Tokens: tokens,
+			},
+			{
+				ID:     "own",
+				Tokens: 100,
 			},
-			Tokens:    tokens + 100,
-			MaxOutput: 100,
 		},
-		Aim:      start.Add(time.Second),
+		Tokens:    tokens + 100,
+		MaxOutput: 100,
+	}
+	return Demand{
+		Prompt:   prompt,
+		Parts:    PartsOf(prompt),
 		Deadline: start.Add(4 * time.Second),
 	}
 }
@@ -191,15 +192,34 @@
 }
 
 func TestCacheDropsTheLeastRecentlyUsed(t *testing.T) {
+	part := func(keys ...uint64) Parts {
+		p := Parts{
+			keys: keys,
+		}
+		sizes := map[uint64]int{1: 60, 2: 30, 3: 40, 4: 10}
+		for _, k := range keys {
+			p.tokens = append(p.tokens, sizes[k])
+		}
+		return p
+	}
 	c := newCache(100)
-	c.use([]uint64{1}, []int{60})
-	c.use([]uint64{2}, []int{30})
-	c.use([]uint64{1}, []int{60})
-	c.use([]uint64{3}, []int{40})
-	require.Equal(t, 60, c.held([]uint64{1}, []int{60}))
-	require.Zero(t, c.held([]uint64{2}, []int{30}))
+	c.use(part(1))
+	c.use(part(2))
+	c.use(part(1))
+	c.use(part(3))
+	require.Equal(t, 60, c.held(part(1)))
+	require.Zero(t, c.held(part(2)))
 	// A part is of no use without those before it.
-	require.Zero(t, c.held([]uint64{4, 1}, []int{10, 60}))
-	c.use([]uint64{5}, []int{-5})
+	require.Zero(t, c.held(part(4, 1)))
 	require.Equal(t, 100, c.used)
 }
+
+func TestNegativeSizesCountNothing(t *testing.T) {
+	p := PartsOf(waxwingpick.Prompt{
+		Parts: []waxwingpick.PromptPart{{
+			ID:     "a",
+			Tokens: -5,
+		}},
+	})
+	require.Equal(t, []int{0}, p.tokens)
+}
--- a/core/placement/replay_test.go
+++ b/core/placement/replay_test.go
@@ -33,6 +33,12 @@
 	return fmt.Sprintf("%d asked, %d in aim, %d late, %d refused, %d tokens read again", t.asked, t.inAim, t.late, t.refused, t.readAgain)
 }
 
+// asked is a request with the time at which its first event is to be there to be fully useful.
+type asked struct {
+	Demand
+	aim time.Time
+}
+
 // step is something that happens at a time of a replay.
 type step struct {
 	at time.Time
@@ -128,7 +134,7 @@
 	return w.tally
 }
 
-func (w *replay) demand(t time.Time, long float64) Demand {
+func (w *replay) demand(t time.Time, long float64) asked {
 	d := demand(fmt.Sprint("quick", w.r.IntN(8)), 60)
 	aim := 400 * time.Millisecond
 	if w.r.Float64() < long {
@@ -143,14 +149,18 @@
 		Tokens: own,
 	}
 	d.Prompt.Tokens = d.Prompt.Parts[0].Tokens + own
-	d.Aim, d.Deadline = t.Add(aim), t.Add(4*aim)
-	return d
+	d.Parts = PartsOf(d.Prompt)
+	d.Deadline = t.Add(4 * aim)
+	return asked{
+		Demand: d,
+		aim:    t.Add(aim),
+	}
 }
 
-func (w *replay) arrive(now time.Time, d Demand) {
+func (w *replay) arrive(now time.Time, d asked) {
 	w.tally.asked++
 	f := w.gateways[w.r.IntN(len(w.gateways))]
-	c, verdict := f.Choose(now, d)
+	c, verdict := f.Choose(now, d.Demand)
 	if verdict != VerdictPlaced {
 		w.tally.refused++
 		return
@@ -159,17 +169,16 @@
 	if !split {
 		reader = c.Run
 	}
-	leg := f.Begin(now, reader.ID, d, false)
-	w.at(w.read(now, reader, d), func(now time.Time) {
+	leg := f.Begin(now, reader.ID, d.Demand, false)
+	w.at(w.read(now, reader, d.Demand), func(now time.Time) {
 		leg.Read(now)
 		first := now
 		if split {
 			leg.End(now)
-			run, _ := f.ChooseRun(now, d, reader)
-			leg = f.Begin(now, run.ID, d, true)
+			run, _ := f.ChooseRun(now, d.Demand, reader)
+			leg = f.Begin(now, run.ID, d.Demand, true)
 			leg.Read(now)
-			keys, tokens := chain(d.Prompt)
-			w.kept[run.ID].use(keys, tokens)
+			w.kept[run.ID].use(d.Parts)
 			first = now.Add(20 * time.Millisecond)
 		}
 		w.count(first, d)
@@ -179,13 +188,12 @@
 
 // read returns when an engine will have read a prompt.
 func (w *replay) read(now time.Time, t waxwingpick.Target, d Demand) time.Time {
-	keys, tokens := chain(d.Prompt)
-	held := w.kept[t.ID].held(keys, tokens)
-	if held == 0 && w.seen[keys[0]] {
-		w.tally.readAgain += tokens[0]
+	held := w.kept[t.ID].held(d.Parts)
+	if held == 0 && w.seen[d.Parts.keys[0]] {
+		w.tally.readAgain += d.Parts.tokens[0]
 	}
-	w.seen[keys[0]] = true
-	w.kept[t.ID].use(keys, tokens)
+	w.seen[d.Parts.keys[0]] = true
+	w.kept[t.ID].use(d.Parts)
 	took := readTime(d.Prompt.Tokens, held)
 	if t.Role != waxwingpick.RolePrefill {
 		took = time.Duration(decodeSlowdown * float64(took))
@@ -198,9 +206,9 @@
 	return begin.Add(took + firstBase)
 }
 
-func (w *replay) count(first time.Time, d Demand) {
+func (w *replay) count(first time.Time, d asked) {
 	switch {
-	case !first.After(d.Aim):
+	case !first.After(d.aim):
 		w.tally.inAim++
 	case !first.After(d.Deadline):
 		w.tally.late++
--- a/core/placement/summary.go
+++ b/core/placement/summary.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"waxwingpick"
@@ -27,6 +28,10 @@
 	// WorkMicros is the prompt work that is not read yet, at a pace of 1.
 	WorkMicros int64 `json:"workMicros,omitempty"`
 	Running    int   `json:"running,omitempty"`
+	// OverdueMicros is how much longer than predicted a request waits already.
+	OverdueMicros int64 `json:"overdueMicros,omitempty"`
+	// Occupied are the tokens in memory by the priority of their requests, up to the last that has any.
+	Occupied []int `json:"occupied,omitempty"`
 }
 
 // Read says that an engine reads a prompt, and keeps its parts afterwards.
@@ -44,9 +49,11 @@
 
 // peerLoad is what another process has at an engine.
 type peerLoad struct {
-	work    time.Duration
-	running int
-	at      time.Time
+	work     time.Duration
+	running  int
+	overdue  time.Duration
+	occupied [priorities]int
+	at       time.Time
 }
 
 // Summary returns what others are to know; it is to be asked for periodically.
@@ -55,9 +62,14 @@
 	for _, id := range f.order {
 		e := f.engines[id]
 		load := EngineLoad{
-			Engine:     id,
-			WorkMicros: e.ahead(now).Microseconds(),
-			Running:    e.running,
+			Engine:        id,
+			WorkMicros:    e.ahead(now).Microseconds(),
+			Running:       e.running,
+			OverdueMicros: e.overdue(now).Microseconds(),
+			Occupied:      slices.Clone(e.memory.taken[:]),
+		}
+		for n := len(load.Occupied); n > 0 && load.Occupied[n-1] == 0; n-- {
+			load.Occupied = load.Occupied[:n-1]
 		}
 		if load.Running > 0 {
 			s.Engines = append(s.Engines, load)
@@ -87,28 +99,36 @@
 		if !ok {
 			continue
 		}
-		e.peers[peer] = peerLoad{
+		p := peerLoad{
 			work:    time.Duration(max(0, l.WorkMicros)) * time.Microsecond,
 			running: max(0, l.Running),
+			overdue: time.Duration(max(0, l.OverdueMicros)) * time.Microsecond,
 			at:      now,
 		}
+		for rank, tokens := range l.Occupied[:min(len(l.Occupied), priorities)] {
+			p.occupied[rank] = max(0, tokens)
+		}
+		e.peers[peer] = p
 	}
 	for _, r := range s.Reads {
 		e, ok := f.engines[r.Engine]
 		if !ok || len(r.Keys) != len(r.Tokens) {
 			continue
 		}
-		e.cache.use(r.Keys, r.Tokens)
+		e.cache.use(Parts{
+			keys:   r.Keys,
+			tokens: r.Tokens,
+		})
 	}
 }
 
 // noteRead has others hear of a read.
-func (f *Fleet) noteRead(id waxwingpick.TargetID, keys []uint64, tokens []int) {
+func (f *Fleet) noteRead(id waxwingpick.TargetID, p Parts) {
 	f.reads = append(f.reads, told{
 		read: Read{
 			Engine: id,
-			Keys:   keys,
-			Tokens: tokens,
+			Keys:   p.keys,
+			Tokens: p.tokens,
 		},
 		left: readsTold,
 	})
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -24,6 +24,8 @@
 	// Number counts the attempts of the request so far, from 1.
 	Number  int
 	Refusal *waxwingpick.Refusal
+	// Unsent says that nothing reached a target: the attempt then costs nobody anything, and counts for no bound.
+	Unsent bool
 	// Repeatable says that the request may run more than once.
 	Repeatable bool
 	// Delivered says that the caller got a part of the answer, so that only a continuation could follow.
@@ -145,7 +147,7 @@
 	if now.Add(delay + a.Needed).After(a.Deadline) {
 		return giveUp(a.Refusal)
 	}
-	if !p.budget.Take(now) {
+	if !a.Unsent && !p.budget.Take(now) {
 		return giveUp(a.Refusal)
 	}
 	return Verdict{
@@ -163,7 +165,7 @@
 }
 
 func (p *Policy) allowed(a Attempt) bool {
-	if a.Delivered || a.Number >= p.attempts {
+	if a.Delivered || a.Number >= p.attempts && !a.Unsent {
 		return false
 	}
 	if a.Refusal.Outcome != waxwingpick.OutcomeNotRun && !a.Repeatable {
@@ -177,7 +179,7 @@
 
 // delay returns the backoff with full jitter; a refusal of one target alone is tried elsewhere at once.
 func (p *Policy) delay(a Attempt) time.Duration {
-	if a.Refusal.Outcome == waxwingpick.OutcomeNotRun && a.Number == 1 {
+	if a.Refusal.Outcome == waxwingpick.OutcomeNotRun && (a.Number == 1 || a.Unsent) {
 		return 0
 	}
 	span := min(p.backoff<<min(a.Number, 16), p.maxBackoff)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 
 	"waxwingpick"
@@ -29,6 +30,17 @@
 	err     error
 }
 
+// unsent reports whether nothing reached the target.
+func (s sent) unsent() bool {
+	return errors.Is(s.err, waxwingpick.ErrEngineUnreachable)
+}
+
+// silent reports whether the target gave no answer at all, in time that it had.
+func (s sent) silent() bool {
+	return s.err != nil && !errors.Is(s.err, waxwingpick.ErrEngineRefused) && !errors.Is(s.err, context.DeadlineExceeded) &&
+		!errors.Is(s.err, context.Canceled) && !errors.Is(s.err, os.ErrDeadlineExceeded)
+}
+
 // answered reports whether there is a target's answer that the caller may get.
 func (s sent) answered() bool {
 	return s.reply.Status != 0 && s.err == nil && !s.reply.NotRun
@@ -67,8 +79,8 @@
 func (x *exchange) demand() placement.Demand {
 	return placement.Demand{
 		Prompt:   x.in.Prompt,
+		Parts:    x.parts,
 		Priority: x.route.Priority,
-		Aim:      x.in.Arrived.Add(x.route.Aim),
 		Deadline: x.firstBy(),
 		Exclude:  x.tried,
 	}
@@ -96,6 +108,7 @@
 	if reader, ok := chosen.prefill.Get(); ok {
 		kept, s := x.prefill(chosen, reader)
 		if s.refusal != nil {
+			x.countUnsent(s)
 			x.tried = append(x.tried, reader.ID)
 			return chosen, s
 		}
@@ -120,6 +133,7 @@
 	})
 	s := x.judge(reply, err)
 	if s.refusal != nil {
+		x.attempts -= x.countUnsent(s)
 		x.release(source)
 	}
 	if s.refusal == nil && reply.Events != nil {
@@ -129,6 +143,16 @@
 	return chosen, s
 }
 
+// countUnsent takes a sending of which nothing reached a target off the bounds, and returns 1 where it was one.
+func (x *exchange) countUnsent(s sent) int {
+	if !s.unsent() {
+		return 0
+	}
+	x.calls--
+	x.unsent++
+	return 1
+}
+
 // resumeAfter returns the event after which the caller wants a stream to go on, where its route allows that.
 func (x *exchange) resumeAfter() string {
 	if !x.route.Resumable {
@@ -239,7 +263,11 @@
 		// What the target still sends belongs to nobody.
 		_ = s.reply.Events.Close()
 	}
-	x.service.ended(x.process.timers.Now(), chosen, s.refusal != nil, s.reply.Running)
+	now := x.process.timers.Now()
+	if s.silent() {
+		x.service.failed(now, chosen, s.unsent())
+	}
+	x.service.ended(now, chosen, s.refusal != nil, s.reply.Running)
 }
 
 // deliver hands a target's answer to the caller.
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -70,7 +70,7 @@
 		return false
 	}
 	for {
-		if !x.again(r.attempt.refusal) {
+		if !x.again(r.attempt) {
 			return false
 		}
 		x.closeAttempt(r.chosen, r.attempt)
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"waxwingpick"
+	"waxwingpick/core/placement"
 	"waxwingpick/core/retry"
 	"waxwingpick/core/routetable"
 	"waxwingpick/core/timer"
@@ -24,6 +25,8 @@
 	notReadyRetry = time.Second
 	// noTargetRetry is when to come back to a service without a target.
 	noTargetRetry = 500 * time.Millisecond
+	// mostUnsent is at how many targets that take no connection a request tries its luck: each costs a round trip.
+	mostUnsent = 5
 )
 
 // exchange is one request of a caller on its way to an answer.
@@ -32,6 +35,7 @@
 	in       *waxwingpick.Inbound
 	route    routetable.Route
 	service  *service
+	parts    placement.Parts
 	trail    *trail.Trail
 	ctx      context.Context
 	cancel   context.CancelFunc
@@ -39,9 +43,11 @@
 	deadline time.Time
 	gateID   string
 
-	// attempts counts the sendings that may run the request, calls all of them with the readings of its prompt.
+	// attempts counts the sendings that may run the request, calls all of them with the readings of its prompt, and unsent
+	// those of which nothing reached a target, which count as neither.
 	attempts int
 	calls    int
+	unsent   int
 	tried    []waxwingpick.TargetID
 	// mayHaveRun says that an attempt was sent that may have run.
 	mayHaveRun bool
@@ -72,6 +78,7 @@
 		in:       in,
 		route:    route,
 		service:  p.service(route.Pick(rand.Float64())),
+		parts:    placement.PartsOf(in.Prompt),
 		trail:    t,
 		callers:  ctx,
 		deadline: deadlineOf(in, route),
@@ -117,7 +124,7 @@
 		}
 		x.closeAttempt(chosen, s)
 		x.mayHaveRun = x.mayHaveRun || s.refusal.Outcome != waxwingpick.OutcomeNotRun
-		if !x.again(s.refusal) {
+		if !x.again(s) {
 			if s.answered() {
 				return x.passOn(s)
 			}
@@ -127,14 +134,16 @@
 }
 
 // again decides on a new attempt and waits for its time.
-func (x *exchange) again(refusal *waxwingpick.Refusal) bool {
+func (x *exchange) again(s sent) bool {
 	now := x.process.timers.Now()
-	if x.ctx.Err() != nil || x.attempts >= x.route.MaxAttempts {
+	if x.ctx.Err() != nil || x.attempts >= x.route.MaxAttempts || x.unsent > mostUnsent {
 		return false
 	}
+	refusal := s.refusal
 	verdict := x.service.decide(now, retry.Attempt{
 		Number:     x.calls,
 		Refusal:    refusal,
+		Unsent:     s.unsent(),
 		Repeatable: x.route.Repeatable(),
 		Deadline:   x.deadline,
 	})
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -166,6 +166,24 @@
 	}
 }
 
+// failed notes that the target to which an attempt was last sent gave no answer.
+func (s *service) failed(now time.Time, c pick, unsent bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	leg := c.prefillLeg
+	if c.runLeg != nil {
+		leg = c.runLeg
+	}
+	switch {
+	case leg == nil:
+		// A plain service's pool learns of failures by the end of the attempt.
+	case unsent:
+		leg.Unreachable(now)
+	default:
+		leg.Lost(now)
+	}
+}
+
 // ended notes that an attempt is over.
 func (s *service) ended(now time.Time, c pick, failed bool, told waxwingpick.Option[int]) {
 	s.mu.Lock()
