--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -65,6 +65,8 @@
 	traits  routetable.Engines
 	engines map[waxwingpick.TargetID]*engine
 	order   []waxwingpick.TargetID
+	// keys finds engines by what summaries name them.
+	keys    map[EngineKey]*engine
 	prefill pace
 	decode  pace
 	reads   []told
@@ -108,6 +110,7 @@
 	f.traits = traits
 	f.order = f.order[:0]
 	known := make(map[waxwingpick.TargetID]*engine, len(targets))
+	f.keys = make(map[EngineKey]*engine, len(targets))
 	for _, t := range targets {
 		e, ok := f.engines[t.ID]
 		if !ok || e.target.Born != t.Born {
@@ -115,6 +118,7 @@
 		}
 		e.target = t
 		known[t.ID] = e
+		f.keys[KeyOf(t.ID)] = e
 		f.order = append(f.order, t.ID)
 	}
 	f.engines = known
--- a/core/placement/summary.go
+++ b/core/placement/summary.go
@@ -4,6 +4,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"waxwingpick"
 )
 
@@ -16,29 +18,41 @@
 	readsTold = 2
 )
 
-// Summary is what one process tells the others about its requests on the engines of a service.
+// Summary is what one process tells the others about its requests on the engines of a service. Its CBOR form is short,
+// since bytes between availability zones have a price and many processes tell each other often.
 type Summary struct {
-	Engines []EngineLoad `json:"engines,omitempty"`
-	Reads   []Read       `json:"reads,omitempty"`
+	_       struct{} `cbor:",toarray"`
+	Engines []EngineLoad
+	Reads   []Read
+}
+
+// EngineKey stands for a target's ID in summaries. Two targets with the same key would only seem to have each other's load.
+type EngineKey uint32
+
+// KeyOf returns the key of a target.
+func KeyOf(id waxwingpick.TargetID) EngineKey {
+	return EngineKey(xxhash.Sum64String(string(id)))
 }
 
 // EngineLoad is the work that one process has at an engine.
 type EngineLoad struct {
-	Engine waxwingpick.TargetID `json:"engine"`
-	// WorkMicros is the prompt work that is not read yet, at a pace of 1.
-	WorkMicros int64 `json:"workMicros,omitempty"`
-	Running    int   `json:"running,omitempty"`
-	// OverdueMicros is how much longer than predicted a request waits already.
-	OverdueMicros int64 `json:"overdueMicros,omitempty"`
+	_      struct{} `cbor:",toarray"`
+	Engine EngineKey
+	// WorkMillis is the prompt work that is not read yet, at a pace of 1.
+	WorkMillis int64
+	Running    int
+	// OverdueMillis is how much longer than predicted a request waits already.
+	OverdueMillis int64
 	// Occupied are the tokens in memory by the priority of their requests, up to the last that has any.
-	Occupied []int `json:"occupied,omitempty"`
+	Occupied []int
 }
 
 // Read says that an engine reads a prompt, and keeps its parts afterwards.
 type Read struct {
-	Engine waxwingpick.TargetID `json:"engine"`
-	Keys   []uint64             `json:"keys"`
-	Tokens []int                `json:"tokens"`
+	_      struct{} `cbor:",toarray"`
+	Engine EngineKey
+	Keys   []uint64
+	Tokens []int
 }
 
 // told is a read that others are to hear of some more times.
@@ -62,10 +76,10 @@
 	for _, id := range f.order {
 		e := f.engines[id]
 		load := EngineLoad{
-			Engine:        id,
-			WorkMicros:    e.ahead(now).Microseconds(),
+			Engine:        KeyOf(id),
+			WorkMillis:    e.ahead(now).Milliseconds(),
 			Running:       e.running,
-			OverdueMicros: e.overdue(now).Microseconds(),
+			OverdueMillis: e.overdue(now).Milliseconds(),
 			Occupied:      slices.Clone(e.memory.taken[:]),
 		}
 		for n := len(load.Occupied); n > 0 && load.Occupied[n-1] == 0; n-- {
@@ -95,14 +109,14 @@
 		delete(f.engines[id].peers, peer)
 	}
 	for _, l := range s.Engines {
-		e, ok := f.engines[l.Engine]
+		e, ok := f.keys[l.Engine]
 		if !ok {
 			continue
 		}
 		p := peerLoad{
-			work:    time.Duration(max(0, l.WorkMicros)) * time.Microsecond,
+			work:    time.Duration(max(0, l.WorkMillis)) * time.Millisecond,
 			running: max(0, l.Running),
-			overdue: time.Duration(max(0, l.OverdueMicros)) * time.Microsecond,
+			overdue: time.Duration(max(0, l.OverdueMillis)) * time.Millisecond,
 			at:      now,
 		}
 		for rank, tokens := range l.Occupied[:min(len(l.Occupied), priorities)] {
@@ -111,7 +125,7 @@
 		e.peers[peer] = p
 	}
 	for _, r := range s.Reads {
-		e, ok := f.engines[r.Engine]
+		e, ok := f.keys[r.Engine]
 		if !ok || len(r.Keys) != len(r.Tokens) {
 			continue
 		}
@@ -122,11 +136,30 @@
 	}
 }
 
+// leastTold is the smallest part, in tokens, that others are told of: smaller ones are read again in a few milliseconds.
+const leastTold = 256
+
+// worthTelling returns a prompt's parts up to the last one that is large.
+func worthTelling(p Parts) Parts {
+	n := len(p.tokens)
+	for n > 0 && p.tokens[n-1] < leastTold {
+		n--
+	}
+	return Parts{
+		keys:   p.keys[:n],
+		tokens: p.tokens[:n],
+	}
+}
+
 // noteRead has others hear of a read.
 func (f *Fleet) noteRead(id waxwingpick.TargetID, p Parts) {
+	p = worthTelling(p)
+	if len(p.keys) == 0 {
+		return
+	}
 	f.reads = append(f.reads, told{
 		read: Read{
-			Engine: id,
+			Engine: KeyOf(id),
 			Keys:   p.keys,
 			Tokens: p.tokens,
 		},
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
 	"waxwingpick"
@@ -34,8 +34,9 @@
 
 // message is what a gateway tells another one.
 type message struct {
-	From     waxwingpick.InstanceID                        `json:"from"`
-	Services map[waxwingpick.ServiceName]placement.Summary `json:"services"`
+	_        struct{} `cbor:",toarray"`
+	From     waxwingpick.InstanceID
+	Services map[waxwingpick.ServiceName]placement.Summary
 }
 
 // gossip exchanges summaries of load among gateways. It only improves choices: without it each gateway knows its own
@@ -154,7 +155,7 @@
 			m.Services[s.name] = summary
 		}
 	}
-	encoded, err := json.Marshal(m)
+	encoded, err := cbor.Marshal(m)
 	if err != nil {
 		g.process.log.WithField("error", err.Error()).Error("summary not encoded")
 		return
@@ -169,7 +170,7 @@
 // take takes the summary of another gateway.
 func (g *gossip) take(encoded []byte) {
 	var m message
-	if err := json.Unmarshal(encoded, &m); err != nil || m.From == "" || m.From == g.process.options.Instance {
+	if err := cbor.Unmarshal(encoded, &m); err != nil || m.From == "" || m.From == g.process.options.Instance {
 		return
 	}
 	now := g.process.timers.Now()
