--- a/internal/demo/move_test.go
+++ b/internal/demo/move_test.go
@@ -21,6 +21,8 @@
 	movePrefillToken = 100 * time.Microsecond
 	moveDecodeToken  = 5 * time.Millisecond
 	movedTokens      = 200
+	// A leave takes up to 4 s to be in force on a busy machine, and the rest of the answer 7 s at this factor.
+	leaveSlowdown = 8
 	// Beside the other request's KV cache there is no memory for the long question's.
 	movePieces     = 300
 	otherTokens    = 2000
@@ -67,6 +69,13 @@
 	arrives func() bool
 }
 
+// slow makes the leaving engine generate more slowly by a factor, so that the stream lasts until the leave is in force.
+func (m moving) slow(factor float64) {
+	f := m.from.Faults()
+	f.Slow = factor
+	m.from.SetFaults(f)
+}
+
 // await waits until the stream has reached the other target.
 func (m moving) await(t *testing.T) {
 	require.Eventually(t, m.arrives, time.Minute, time.Millisecond)
@@ -184,16 +193,18 @@
 			if f.before != nil {
 				f.before(t, m)
 			}
+			m.slow(leaveSlowdown)
 			before := m.to.Record().PrefillTokens
 			by := time.Now().Add(10 * time.Second)
 			if f.late {
 				by = time.Now()
 			}
 			require.NoError(t, c.commit(t.Context(), config.AnnounceLeave(c.Instances()[leaver].ID, by.UTC(), time.Now().UTC())))
+			m.await(t)
 			if f.during != nil {
-				m.await(t)
 				f.during(t, m)
 			}
+			m.slow(1)
 			wg.Wait()
 			require.Equal(t, f.fetched, m.to.Record().PrefillTokens == before)
 			require.False(t, f.fetched && f.direct && m.from.Record().Fetched != 1, "fetched past the sidecars")
@@ -225,6 +236,7 @@
 	})
 	awaitTokens(t, c, 20)
 	m, leaver := c.moving()
+	m.slow(leaveSlowdown)
 	peers, err := sidecar.NewClient(c.fleet, maxBody)
 	require.NoError(t, err)
 	defer peers.Close()
@@ -251,6 +263,9 @@
 	}, time.Minute, time.Millisecond)
 	by := time.Now().Add(10 * time.Second).UTC()
 	require.NoError(t, c.commit(t.Context(), config.AnnounceLeave(c.Instances()[leaver].ID, by, time.Now().UTC())))
+	require.Eventually(t, func() bool {
+		return c.Sidecars()[leaver].Running() == 0
+	}, time.Minute, time.Millisecond)
 	wg.Wait()
 	require.Len(t, m.to.Record().Runs, 3)
 	m.requireClean(t)
