--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -15,6 +15,8 @@
 	// pending are the legs that wait for the end of their reading, or of their transfer.
 	pending map[*Leg]struct{}
 	answers ejection.Target
+	// served is when the newest of the requests began whose wait has ended.
+	served  time.Time
 	running int
 	// peers is what other processes have at the engine.
 	peers map[waxwingpick.InstanceID]peerLoad
@@ -94,11 +96,14 @@
 }
 
 // overdue returns how much longer than predicted this process's request waits that waits longest: the engine is silent, or
-// busy with what this process has not heard of.
+// busy with what this process has not heard of. Requests that later ones have overtaken don't count, since the answers of
+// single ones are lost.
 func (e *engine) overdue(now time.Time) time.Duration {
 	most := time.Duration(0)
 	for leg := range e.pending {
-		most = max(most, now.Sub(leg.begun)-leg.predicted)
+		if !leg.begun.Before(e.served) {
+			most = max(most, now.Sub(leg.begun)-leg.predicted)
+		}
 	}
 	return max(0, most-overdueSlack)
 }
@@ -160,6 +165,9 @@
 		return
 	}
 	l.read = true
+	if l.begun.After(l.engine.served) {
+		l.engine.served = l.begun
+	}
 	l.engine.answers.Answered()
 	if l.done(now) && l.alone && l.work > 0 {
 		// Only work that waited for none of ours tells how fast an engine reads.
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -138,9 +138,10 @@
 	engine *engine
 	held   int
 	load   load
-	// wait is the work ahead, read the reading of the prompt.
-	wait time.Duration
-	read time.Duration
+	// wait is the work ahead, silence the wait for an engine that gives no sign of life, read the reading of the prompt.
+	wait    time.Duration
+	silence time.Duration
+	read    time.Duration
 	// room is the wait for memory behind requests that are at least as urgent, roomAll that behind all.
 	room    time.Duration
 	roomAll time.Duration
@@ -215,7 +216,7 @@
 			best = Choice{
 				Run:        o.engine.target,
 				Ahead:      o.wait,
-				Predicted:  o.wait + o.read + o.room + o.crowding(),
+				Predicted:  o.wait + o.silence + o.read + o.room + o.crowding(),
 				HeldTokens: o.held,
 				cost:       cost,
 			}
@@ -228,14 +229,14 @@
 func (f *Fleet) split(d Demand, reader option, runners []option) Choice {
 	best := Choice{}
 	for i, o := range runners {
-		rest := splitCost + f.fetchTime(o, d, reader) + o.wait + o.crowding()
+		rest := splitCost + f.fetchTime(o, d, reader) + o.wait + o.silence + o.crowding()
 		cost := reader.cost + o.roomAll + rest
 		if i == 0 || cost < best.cost {
 			best = Choice{
 				Run:        o.engine.target,
 				Prefill:    waxwingpick.Some(reader.engine.target),
 				Ahead:      reader.wait,
-				Predicted:  reader.wait + reader.read + o.room + rest,
+				Predicted:  reader.wait + reader.silence + reader.read + o.room + rest,
 				HeldTokens: reader.held,
 				cost:       cost,
 			}
@@ -286,7 +287,7 @@
 		far = farCost + time.Duration(d.Bytes)*farByteCost
 	}
 	need := e.memory.need(d.Parts)
-	wait, read := p.scale(all.work)+all.overdue, p.base+p.scale(readTime(d.Prompt.Tokens, held))
+	wait, read := p.scale(all.work), p.base+p.scale(readTime(d.Prompt.Tokens, held))
 	return option{
 		engine:  e,
 		held:    held,
@@ -295,7 +296,8 @@
 		read:    read,
 		room:    f.resides.wait(all.upTo(d.Priority), need, f.traits.MemoryTokens),
 		roomAll: f.resides.wait(all.upTo(priorities-1), need, f.traits.MemoryTokens),
-		cost:    wait + time.Duration(f.readings)*read + f.stall(e, read) + far,
+		silence: all.overdue,
+		cost:    wait + all.overdue + time.Duration(f.readings)*read + f.stall(e, read) + far,
 	}
 }
 
--- a/engine.go
+++ b/engine.go
@@ -16,6 +16,8 @@
 	ErrEngineLost = eris.New("engine connection lost")
 	// ErrEngineRefused says that the engine refused the request and did not run it.
 	ErrEngineRefused = eris.New("engine refused the request")
+	// ErrMisdirected says that another target has the address, or the target another role.
+	ErrMisdirected = eris.New("target is not the one that was meant")
 	// ErrStaleFencingNumber says that the engine holds a newer order.
 	ErrStaleFencingNumber = eris.New("stale fencing number")
 	// ErrStreamNotFound says that the engine does not know the stream or its offset any more.
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -24,9 +24,9 @@
 )
 
 const (
-	// retryShare is the part of the fleet's retry budget that each gateway uses of its own requests: half is left for
+	// retryShare is the part of the fleet's retry budget that each gateway uses of its own requests: the rest is left for
 	// requests that move between windows of the budget.
-	retryShare = 0.5
+	retryShare = 0.75
 	// lameDuckShare is the part of the time until the process is killed in which it still takes requests: the balancer
 	// needs two of its checks, a second apart, and callers with open connections go on until these end.
 	lameDuckShare = 0.6
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -35,10 +35,24 @@
 	return errors.Is(s.err, waxwingpick.ErrEngineUnreachable)
 }
 
-// silent reports whether the target gave no answer at all, in time that it had.
+// absent reports whether the target that was named is not there.
+func (s sent) absent() bool {
+	return s.unsent() && !s.ended() || s.reply.Misdirected || errors.Is(s.err, waxwingpick.ErrMisdirected)
+}
+
+// silent reports whether the target gave no answer, although it had the time.
 func (s sent) silent() bool {
-	return s.err != nil && !errors.Is(s.err, waxwingpick.ErrEngineRefused) && !errors.Is(s.err, context.DeadlineExceeded) &&
-		!errors.Is(s.err, context.Canceled) && !errors.Is(s.err, os.ErrDeadlineExceeded)
+	return s.err != nil && !s.ended() && !errors.Is(s.err, waxwingpick.ErrEngineRefused)
+}
+
+// ended reports whether the attempt failed since its time was over or its caller left.
+func (s sent) ended() bool {
+	for _, end := range []error{context.DeadlineExceeded, context.Canceled, os.ErrDeadlineExceeded} {
+		if errors.Is(s.err, end) {
+			return true
+		}
+	}
+	return false
 }
 
 // answered reports whether there is a target's answer that the caller may get.
@@ -265,8 +279,8 @@
 		_ = s.reply.Events.Close()
 	}
 	now := x.process.timers.Now()
-	if s.silent() {
-		x.service.failed(now, chosen, s.unsent())
+	if s.absent() || s.silent() {
+		x.service.failed(now, chosen, s.absent())
 	}
 	x.service.ended(now, chosen, s.refusal != nil, s.reply.Running)
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -166,8 +166,8 @@
 	}
 }
 
-// failed notes that the target to which an attempt was last sent gave no answer.
-func (s *service) failed(now time.Time, c pick, unsent bool) {
+// failed notes that the target to which an attempt was last sent is not there, or gave no answer.
+func (s *service) failed(now time.Time, c pick, absent bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	leg := c.prefillLeg
@@ -177,7 +177,7 @@
 	switch {
 	case leg == nil:
 		// A plain service's pool learns of failures by the end of the attempt.
-	case unsent:
+	case absent:
 		leg.Unreachable(now)
 	default:
 		leg.Lost(now)
--- a/target.go
+++ b/target.go
@@ -86,7 +86,7 @@
 }
 
 // Dispatcher is the port to all targets. Its errors are ErrEngineUnreachable where nothing was sent, ErrEngineRefused
-// where the target did not run the request, and ErrEngineLost where it may have run.
+// where the target did not run the request, with ErrMisdirected where it is not the one that was meant, and ErrEngineLost where it may have run.
 type Dispatcher interface {
 	// Send sends a request once.
 	Send(ctx context.Context, d Dispatch) (Dispatched, error)
