--- a/core/balance/pool.go
+++ b/core/balance/pool.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"waxwingpick"
+	"waxwingpick/core/ejection"
 )
 
 const (
@@ -31,8 +32,9 @@
 	target  waxwingpick.Target
 	running int
 	// others are the calls of other processes that the target told of.
-	others int
-	toldAt time.Time
+	others  int
+	toldAt  time.Time
+	answers ejection.Target
 	// failures is the recent rate of calls that the target lost or did not run.
 	failures float64
 }
@@ -61,25 +63,33 @@
 	p.members = known
 }
 
-// Choose picks the least loaded target that is not excluded and does not leave.
+// Choose picks the least loaded target that is not excluded and does not leave; those that give no answers are left out
+// unless there is no other one.
 func (p *Pool) Choose(now time.Time, exclude []waxwingpick.TargetID) (waxwingpick.Target, bool) {
+	p.turn++
+	for _, all := range []bool{false, true} {
+		if m := p.least(now, exclude, all); m != nil {
+			return m.target, true
+		}
+	}
+	return waxwingpick.Target{}, false
+}
+
+// least returns the least loaded member, nil where there is none.
+func (p *Pool) least(now time.Time, exclude []waxwingpick.TargetID, all bool) *member {
 	var best *member
 	least := 0.0
-	p.turn++
 	for i := range p.order {
 		// Targets of equal load take turns.
 		m := p.members[p.order[(i+p.turn)%len(p.order)]]
-		if m.target.Leaving || slices.Contains(exclude, m.target.ID) {
+		if m.target.Leaving || slices.Contains(exclude, m.target.ID) || !all && m.answers.Out(now) {
 			continue
 		}
 		if load := p.load(now, m); best == nil || load < least {
 			best, least = m, load
 		}
 	}
-	if best == nil {
-		return waxwingpick.Target{}, false
-	}
-	return best.target, true
+	return best
 }
 
 func (p *Pool) load(now time.Time, m *member) float64 {
@@ -95,12 +105,25 @@
 }
 
 // Begin notes that a call is sent to a target.
-func (p *Pool) Begin(id waxwingpick.TargetID) {
+func (p *Pool) Begin(now time.Time, id waxwingpick.TargetID) {
 	if m, ok := p.members[id]; ok {
+		m.answers.Begin(now)
 		m.running++
 	}
 }
 
+// Failed notes that a target is not there, or gave no answer.
+func (p *Pool) Failed(now time.Time, id waxwingpick.TargetID, absent bool) {
+	m, ok := p.members[id]
+	switch {
+	case !ok:
+	case absent:
+		m.answers.Unreachable(now)
+	default:
+		m.answers.Lost(now)
+	}
+}
+
 // End notes how a call ended: told is the number of calls at the target, where it told it.
 func (p *Pool) End(now time.Time, id waxwingpick.TargetID, failed bool, told waxwingpick.Option[int]) {
 	m, ok := p.members[id]
@@ -111,6 +134,8 @@
 	outcome := 0.0
 	if failed {
 		outcome = 1
+	} else {
+		m.answers.Answered()
 	}
 	m.failures += failureWeight * (outcome - m.failures)
 	if calls, ok := told.Get(); ok {
--- a/core/balance/pool_test.go
+++ b/core/balance/pool_test.go
@@ -32,7 +32,7 @@
 	for range 3 {
 		chosen, ok := p.Choose(start, nil)
 		require.True(t, ok)
-		p.Begin(chosen.ID)
+		p.Begin(start, chosen.ID)
 		seen.Add(chosen.ID)
 	}
 	require.Equal(t, 3, seen.Len())
@@ -58,7 +58,7 @@
 func TestToldLoadOfOthersCountsForASecond(t *testing.T) {
 	p := balance.New("here")
 	p.SetTargets(targets(2, 4))
-	p.Begin("a")
+	p.Begin(start, "a")
 	p.End(start, "a", false, waxwingpick.Some(3))
 	for range 4 {
 		chosen, _ := p.Choose(start, nil)
@@ -85,7 +85,7 @@
 		for i := range calls {
 			now := start.Add(time.Duration(i) * 3 * time.Millisecond)
 			id := choose(p)
-			p.Begin(id)
+			p.Begin(now, id)
 			if id == "a" {
 				// A target that fails does so at once, and so looks idle to a rule that sees load alone.
 				failed++
@@ -114,3 +114,29 @@
 	require.Equal(t, calls/3, byTurns)
 	require.Less(t, byLoad, calls/10)
 }
+
+func TestAbsentTargetIsLeftOutUntilAProbeShowsItIsBack(t *testing.T) {
+	p := balance.New("here")
+	p.SetTargets(targets(2, 4))
+	p.Begin(start, "a")
+	p.Failed(start, "a", true)
+	p.End(start, "a", true, waxwingpick.None[int]())
+	for range 8 {
+		chosen, ok := p.Choose(start, nil)
+		require.True(t, ok)
+		require.EqualValues(t, "b", chosen.ID)
+		p.Begin(start, "b")
+	}
+	chosen, ok := p.Choose(start, []waxwingpick.TargetID{"b"})
+	require.True(t, ok, "the only one left is tried")
+	require.EqualValues(t, "a", chosen.ID)
+	later := start.Add(time.Second)
+	chosen, _ = p.Choose(later, nil)
+	require.EqualValues(t, "a", chosen.ID)
+	p.Begin(later, "a")
+	chosen, _ = p.Choose(later, nil)
+	require.EqualValues(t, "b", chosen.ID, "one request probes")
+	p.End(later, "a", false, waxwingpick.None[int]())
+	chosen, _ = p.Choose(later, nil)
+	require.EqualValues(t, "a", chosen.ID)
+}
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -223,3 +224,138 @@
 	})
 	require.Equal(t, []int{0}, p.tokens)
 }
+
+func TestEngineThatTakesNoConnectionIsLeftOut(t *testing.T) {
+	f := fleetOf(engineTarget("d1", waxwingpick.RoleDecode), engineTarget("d2", waxwingpick.RoleDecode), engineTarget("p", waxwingpick.RolePrefill))
+	f.Begin(start, "d1", demand("a", 200), false).Unreachable(start)
+	// The other engine is the busier one, and keeps less.
+	f.Begin(start, "d2", demand("b", 8000), false)
+	c, verdict := f.Choose(start, demand("a", 200))
+	require.Equal(t, VerdictPlaced, verdict)
+	require.EqualValues(t, "d2", c.Run.ID)
+	f.Begin(start, "p", demand("c", 200), false).Unreachable(start)
+	c, _ = f.Choose(start, demand("d", 20_000))
+	_, split := c.Prefill.Get()
+	require.False(t, split)
+}
+
+func TestEnginesThatAllTakeNoConnectionAreTriedNevertheless(t *testing.T) {
+	f := fleetOf(engineTarget("d1", waxwingpick.RoleDecode), engineTarget("d2", waxwingpick.RoleDecode))
+	f.Begin(start, "d1", demand("a", 200), false).Unreachable(start)
+	f.Begin(start, "d2", demand("a", 200), false).Unreachable(start)
+	_, verdict := f.Choose(start, demand("b", 200))
+	require.Equal(t, VerdictPlaced, verdict)
+}
+
+// TestFullMemorySendsPromptsElsewhere fills an engine's memory with running requests of one priority.
+func TestFullMemorySendsPromptsElsewhere(t *testing.T) {
+	near, far := engineTarget("near", waxwingpick.RoleDecode), engineTarget("far", waxwingpick.RoleDecode)
+	far.Zone = "there"
+	one, two := fleetOf(near, far), fleetOf(near, far)
+	for i := range 19 {
+		d := demand(fmt.Sprint("a", i), 20_000)
+		d.Priority = 1
+		one.Begin(start, "near", d, true).Read(start)
+	}
+	two.Observe(start, "one", one.Summary(start))
+	for _, f := range []*Fleet{one, two} {
+		c, verdict := f.Choose(start, demand("c", 200))
+		require.Equal(t, VerdictPlaced, verdict)
+		require.EqualValues(t, "near", c.Run.ID)
+		// A prompt that shares most of its tokens with one that runs there needs no more room, but only this process knows.
+		c, _ = f.Choose(start, demand("a0", 20_000))
+		require.EqualValues(t, "near", c.Run.ID)
+	}
+	d := demand("b", 20_000)
+	d.Priority = 1
+	one.Begin(start, "near", d, true).Read(start)
+	two.Observe(start, "one", one.Summary(start))
+	for _, f := range []*Fleet{one, two} {
+		d := demand("c", 30_000)
+		d.Priority = 1
+		c, verdict := f.Choose(start, d)
+		require.Equal(t, VerdictPlaced, verdict)
+		require.EqualValues(t, "far", c.Run.ID)
+	}
+}
+
+func TestMemoryCountsSharedPartsOnce(t *testing.T) {
+	m := newMemory()
+	a, b := demand("shared", 1000).Parts, demand("shared", 1000).Parts
+	b.keys[1]++
+	m.take(a, 3)
+	require.Equal(t, 100, m.need(b))
+	m.take(b, 4)
+	require.Equal(t, 1100, m.taken[3])
+	require.Equal(t, 100, m.taken[4])
+	m.drop(a)
+	require.Equal(t, 1000, m.taken[3], "the shared part is still used")
+	m.drop(b)
+	m.drop(b)
+	require.Zero(t, m.taken)
+	require.Empty(t, m.parts)
+	m.take(a, 99)
+	m.drop(a)
+	require.Zero(t, m.taken)
+}
+
+// TestSilentEngineIsAvoided has a request wait at an engine for longer than predicted.
+func TestSilentEngineIsAvoided(t *testing.T) {
+	one := fleetOf(engineTarget("d1", waxwingpick.RoleDecode), engineTarget("d2", waxwingpick.RoleDecode))
+	two := fleetOf(engineTarget("d1", waxwingpick.RoleDecode), engineTarget("d2", waxwingpick.RoleDecode))
+	lost := one.Begin(start, "d1", demand("a", 200), false)
+	later := start.Add(500 * time.Millisecond)
+	two.Observe(later, "one", one.Summary(later))
+	for _, f := range []*Fleet{one, two} {
+		c, verdict := f.Choose(later, demand("a", 200))
+		require.Equal(t, VerdictPlaced, verdict)
+		require.EqualValues(t, "d2", c.Run.ID)
+	}
+	// A later request's first event shows that only the one answer is lost.
+	one.Begin(later, "d1", demand("b", 200), false).Read(later.Add(100 * time.Millisecond))
+	later = later.Add(200 * time.Millisecond)
+	c, _ := one.Choose(later, demand("a", 200))
+	require.EqualValues(t, "d1", c.Run.ID)
+	lost.End(later)
+}
+
+func TestLongReadingsAreKeptFromEnginesThatGenerate(t *testing.T) {
+	f := fleetOf(engineTarget("p", waxwingpick.RolePrefill), engineTarget("d", waxwingpick.RoleDecode))
+	for range 3 {
+		f.Begin(start, "p", demand("a", 20_000), false)
+		f.engines["p"].cache = newCache(0)
+	}
+	// Waiting for three long readings takes longer than the reading at the other engine, which would stall all there.
+	long := demand("b", 20_000)
+	long.Deadline = start.Add(10 * time.Second)
+	c, verdict := f.Choose(start, long)
+	require.Equal(t, VerdictPlaced, verdict)
+	_, split := c.Prefill.Get()
+	require.True(t, split)
+	c, _ = f.Choose(start, demand("b", 2000))
+	_, split = c.Prefill.Get()
+	require.False(t, split)
+}
+
+func TestLargeRequestsStayInTheirZoneForLonger(t *testing.T) {
+	near, far := engineTarget("near", waxwingpick.RoleDecode), engineTarget("far", waxwingpick.RoleDecode)
+	far.Zone = "there"
+	f := fleetOf(far, near)
+	f.Begin(start, "near", demand("a", 1000), false)
+	d := demand("b", 10)
+	c, _ := f.Choose(start, d)
+	require.EqualValues(t, "far", c.Run.ID)
+	d.Bytes = 40_000
+	c, _ = f.Choose(start, d)
+	require.EqualValues(t, "near", c.Run.ID)
+}
+
+func TestSmallPartsAreNotTold(t *testing.T) {
+	f := fleetOf(engineTarget("d", waxwingpick.RoleDecode))
+	f.Begin(start, "d", demand("a", leastTold-1), false)
+	require.Empty(t, f.Summary(start).Reads)
+	f.Begin(start, "d", demand("a", leastTold), false)
+	reads := f.Summary(start).Reads
+	require.Len(t, reads, 1)
+	require.Equal(t, []int{leastTold}, reads[0].Tokens)
+}
--- a/core/placement/replay_test.go
+++ b/core/placement/replay_test.go
@@ -252,3 +252,129 @@
 	require.Greater(t, results["sharedReadingTwice"].inAim, results["shared"].inAim)
 	require.Less(t, results["sharedReadingTwice"].readAgain, results["shared"].readAgain)
 }
+
+// TestReplayOfCrashedEngines crashes a quarter of the engines while the platform's list still has them: they refuse each
+// connection at once. By the naive rule a request tries its luck at another engine once; by the rule that stands engines
+// that take no connection are out, and sendings that reached nobody are free.
+func TestReplayOfCrashedEngines(t *testing.T) {
+	play := func(ejects bool, tries int) (failed int) {
+		r := rand.New(rand.NewPCG(5, 5))
+		var targets []waxwingpick.Target
+		for i := range 12 {
+			targets = append(targets, engineTarget(fmt.Sprint("e", i), waxwingpick.RoleDecode))
+		}
+		var gateways []*Fleet
+		for range replayGateways {
+			gateways = append(gateways, fleetOf(targets...))
+		}
+		w := replay{
+			r: r,
+		}
+		for now := start; now.Before(start.Add(3 * time.Second)); now = now.Add(time.Duration(r.ExpFloat64() * float64(time.Second) / 200)) {
+			w.at(now, func(now time.Time) {
+				f := gateways[r.IntN(len(gateways))]
+				d := demand(fmt.Sprint("quick", r.IntN(8)), 60)
+				d.Deadline = now.Add(time.Second)
+				for range tries {
+					c, verdict := f.Choose(now, d)
+					if verdict != VerdictPlaced {
+						break
+					}
+					leg := f.Begin(now, c.Run.ID, d, false)
+					if c.Run.ID != "e0" && c.Run.ID != "e1" && c.Run.ID != "e2" {
+						w.at(now.Add(100*time.Millisecond), leg.Read)
+						w.at(now.Add(700*time.Millisecond), leg.End)
+						return
+					}
+					if ejects {
+						leg.Unreachable(now)
+					}
+					leg.End(now)
+					d.Exclude = append(d.Exclude, c.Run.ID)
+				}
+				failed++
+			})
+		}
+		for len(w.steps) > 0 {
+			s := heap.Pop(&w.steps).(step)
+			s.do(s.at)
+		}
+		return failed
+	}
+	naive, free := play(false, 2), play(true, 6)
+	t.Logf("failed: naive %d, ejection and free tries %d", naive, free)
+	require.Greater(t, naive, 100)
+	require.Zero(t, free)
+}
+
+// TestReplayOfAMemoryBurst has prompts of very different length come in a burst to engines that generate, of which each has
+// memory for some twenty at once: a request that finds no room waits until others have ended.
+func TestReplayOfAMemoryBurst(t *testing.T) {
+	const runTime = 1500 * time.Millisecond
+	play := func(counted bool) (late int) {
+		r := rand.New(rand.NewPCG(3, 3))
+		var targets []waxwingpick.Target
+		for i := range 6 {
+			targets = append(targets, engineTarget(fmt.Sprint("e", i), waxwingpick.RoleDecode))
+		}
+		f := fleetOf(targets...)
+		if !counted {
+			f.resides.mean = 0
+		}
+		prefill := engineTarget("p", waxwingpick.RolePrefill)
+		w := replay{
+			r: r,
+		}
+		used := make(map[waxwingpick.TargetID]int)
+		queues := make(map[waxwingpick.TargetID][]func(time.Time) bool)
+		admit := func(now time.Time, id waxwingpick.TargetID) {
+			for len(queues[id]) > 0 && queues[id][0](now) {
+				queues[id] = queues[id][1:]
+			}
+		}
+		for now := start; now.Before(start.Add(5 * time.Second)); now = now.Add(time.Duration(r.ExpFloat64() * float64(time.Second) / 85)) {
+			w.at(now, func(now time.Time) {
+				d := demand(fmt.Sprint("thing", r.IntN(4)), 1000)
+				d.Prompt.Parts[1].ID = fmt.Sprint(r.Uint64())
+				d.Prompt.Parts[1].Tokens = 1000 + int(r.ExpFloat64()*14_000)
+				d.Prompt.Tokens = 1000 + d.Prompt.Parts[1].Tokens
+				d.Parts = PartsOf(d.Prompt)
+				run, ok := f.ChooseRun(now, d, prefill)
+				require.True(t, ok)
+				leg := f.Begin(now, run.ID, d, true)
+				came := now
+				queues[run.ID] = append(queues[run.ID], func(now time.Time) bool {
+					if used[run.ID]+d.Prompt.Tokens > traits().MemoryTokens {
+						return false
+					}
+					used[run.ID] += d.Prompt.Tokens
+					leg.Read(now)
+					if now.Sub(came) > 400*time.Millisecond {
+						late++
+					}
+					w.at(now.Add(runTime), func(now time.Time) {
+						used[run.ID] -= d.Prompt.Tokens
+						if counted {
+							leg.End(now)
+						} else {
+							mean := f.resides.mean
+							leg.End(now)
+							f.resides.mean = mean
+						}
+						admit(now, run.ID)
+					})
+					return true
+				})
+				admit(now, run.ID)
+			})
+		}
+		for len(w.steps) > 0 {
+			s := heap.Pop(&w.steps).(step)
+			s.do(s.at)
+		}
+		return late
+	}
+	blind, counting := play(false), play(true)
+	t.Logf("late: by running requests alone %d, by memory too %d", blind, counting)
+	require.Greater(t, blind, counting)
+}
--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -157,3 +157,21 @@
 		require.LessOrEqual(t, float64(sent), most, "reason %s", reason)
 	}
 }
+
+func TestUnsentAttemptsCostNothing(t *testing.T) {
+	p, err := retry.New(retry.Fraction(0), retry.Attempts(2))
+	require.NoError(t, err)
+	now := time.Unix(1000, 0)
+	a := retry.Attempt{
+		Number:   2,
+		Refusal:  waxwingpick.NotRun(waxwingpick.ReasonTargetUnreachable, 0, "no connection"),
+		Deadline: now.Add(time.Second),
+	}
+	require.False(t, p.Decide(now, a).Retry)
+	a.Unsent = true
+	for range 20 {
+		verdict := p.Decide(now, a)
+		require.True(t, verdict.Retry)
+		require.Zero(t, verdict.Delay)
+	}
+}
--- a/internal/daemon/gateway_test.go
+++ b/internal/daemon/gateway_test.go
@@ -522,6 +522,26 @@
 	require.Equal(t, 1, reader.Refused())
 }
 
+// TestAbsentEnginesCostNoRequest lists an engine that takes no connection and one whose address another target has: even on
+// a route with one attempt requests go on elsewhere, and soon all of them go there at once.
+func TestAbsentEnginesCostNoRequest(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.engines[0].Close()
+	ghost := s.engines[1].Entry("llm", "zone", "ready")
+	require.NoError(t, s.store.Put(t.Context(), "servers/ghost", ghost))
+	s.start()
+	defer s.stop()
+	const asked = 20
+	for i := range asked {
+		status, body, whole := s.read(s.ask(fmt.Sprint("id", i), "/long/a", ""))
+		require.Equal(t, http.StatusOK, status, "%d: %s", i, body)
+		require.True(t, whole)
+	}
+	require.Len(t, s.runs(), asked)
+	require.Less(t, s.engines[1].Misdirected(), asked/2)
+}
+
 // TestGatewaysFindEachOther starts a second gateway and reads from the metrics of both that they tell each other load.
 func TestGatewaysFindEachOther(t *testing.T) {
 	t.Parallel()
--- /dev/null
+++ b/internal/gateway/gossip_test.go
@@ -0,0 +1,63 @@
+package gateway
+
+import (
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+
+	"waxwingpick"
+	"waxwingpick/core/placement"
+)
+
+// full is a summary of a usual size.
+func full() message {
+	s := placement.Summary{}
+	for i := range 18 {
+		s.Engines = append(s.Engines, placement.EngineLoad{
+			Engine:        placement.KeyOf(waxwingpick.TargetID(rune('a' + i))),
+			WorkMillis:    300,
+			Running:       12,
+			OverdueMillis: 200,
+			Occupied:      []int{3000, 180_000},
+		})
+		s.Reads = append(s.Reads, placement.Read{
+			Engine: placement.KeyOf(waxwingpick.TargetID(rune('a' + i))),
+			Keys:   []uint64{1 << 63, 1 << 62},
+			Tokens: []int{13_000, 4000},
+		})
+	}
+	return message{
+		From: "gateway-1",
+		Services: map[waxwingpick.ServiceName]placement.Summary{
+			"llm": s,
+		},
+	}
+}
+
+func TestMessagesAreShortAndComeBackTheSame(t *testing.T) {
+	encoded, err := cbor.Marshal(full())
+	require.NoError(t, err)
+	require.Less(t, len(encoded), 1200)
+	var m message
+	require.NoError(t, cbor.Unmarshal(encoded, &m))
+	require.Equal(t, full(), m)
+}
+
+// FuzzMessage has datagrams of anybody decoded.
+func FuzzMessage(f *testing.F) {
+	encoded, err := cbor.Marshal(full())
+	require.NoError(f, err)
+	f.Add(encoded)
+	f.Add(encoded[:len(encoded)/2])
+	f.Add([]byte("{}"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		var m message
+		if cbor.Unmarshal(data, &m) != nil {
+			return
+		}
+		again, err := cbor.Marshal(m)
+		require.NoError(t, err)
+		require.NoError(t, cbor.Unmarshal(again, &m))
+	})
+}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -128,7 +128,7 @@
 	defer s.mu.Unlock()
 	t, ok := s.pool.Choose(now, exclude)
 	if ok {
-		s.pool.Begin(t.ID)
+		s.pool.Begin(now, t.ID)
 	}
 	return pick{
 		run: t,
@@ -176,7 +176,7 @@
 	}
 	switch {
 	case leg == nil:
-		// A plain service's pool learns of failures by the end of the attempt.
+		s.pool.Failed(now, c.run.ID, absent)
 	case absent:
 		leg.Unreachable(now)
 	default:
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -22,12 +22,13 @@
 	stage string
 	slots int
 
-	mu      sync.Mutex
-	runs    []Run
-	handles map[string]bool
-	next    int
-	refused int
-	faults  Faults
+	mu          sync.Mutex
+	runs        []Run
+	handles     map[string]bool
+	next        int
+	refused     int
+	misdirected int
+	faults      Faults
 }
 
 // Run is one request as the target saw it when it ran it.
@@ -113,6 +114,13 @@
 	return t.refused
 }
 
+// Misdirected returns the number of requests that were meant for another target.
+func (t *Target) Misdirected() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.misdirected
+}
+
 // Handles returns the number of handles that were neither taken nor freed.
 func (t *Target) Handles() int {
 	t.mu.Lock()
@@ -140,6 +148,9 @@
 	c.Set("Waxwingpick-Request-Id", c.Get("Waxwingpick-Request-Id"))
 	switch {
 	case c.Get("Waxwingpick-Expect-Instance") != t.id:
+		t.mu.Lock()
+		t.misdirected++
+		t.mu.Unlock()
 		c.Set("Waxwingpick-Instance-Id", t.id)
 		return c.SendStatus(http.StatusMisdirectedRequest)
 	case faults.Full:
