--- a/core/routetable/table.go
+++ b/core/routetable/table.go
@@ -70,10 +70,6 @@
 	TokenBytes   int
 	// LinkBytesPerSecond is the rate of transfers between engines.
 	LinkBytesPerSecond float64
-	// HandleLife is how long an engine keeps KV cache that nobody fetches.
-	HandleLife time.Duration
-	// RoleSwitch is how long a change of role takes.
-	RoleSwitch time.Duration
 }
 
 // Service describes one service.
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"sync"
@@ -112,8 +113,12 @@
 	lease := g.lease
 	g.mu.Unlock()
 	if lease != 0 {
-		if _, err := g.kv.KeepAlive(ctx, lease); err == nil {
+		_, err := g.kv.KeepAlive(ctx, lease)
+		switch {
+		case err == nil:
 			return nil
+		case !errors.Is(err, waxwingpick.ErrLeaseExpired):
+			return fmt.Errorf("renew own address: %w", err)
 		}
 	}
 	lease, err := g.kv.Grant(ctx, peerLease)
--- a/io/plain/client.go
+++ b/io/plain/client.go
@@ -74,7 +74,7 @@
 	a, err := c.http.Send(ctx, http1.Request{
 		Method:  req.Method,
 		URI:     req.Path,
-		Header:  endToEnd(fieldsOf(req.Headers)),
+		Header:  http1.EndToEnd(fieldsOf(req.Headers)),
 		Body:    req.Body,
 		Timeout: c.cfg.timeout,
 	})
@@ -88,7 +88,7 @@
 	}
 	return waxwingpick.CallResponse{
 		Status:  a.Status(),
-		Headers: headersOf(endToEnd(a.Fields())),
+		Headers: headersOf(http1.EndToEnd(a.Fields())),
 		Body:    body,
 	}, nil
 }
--- a/io/plain/header.go
+++ b/io/plain/header.go
@@ -13,45 +13,6 @@
 
 var errMalformed = eris.New("malformed request")
 
-// hopByHop lists the fields of RFC 9110 that concern one connection only, and
-// those that the client sets anew for its own connection.
-var hopByHop = waxwingpick.NewSet(
-	"connection",
-	"keep-alive",
-	"proxy-authenticate",
-	"proxy-authorization",
-	"proxy-connection",
-	"te",
-	"trailer",
-	"transfer-encoding",
-	"upgrade",
-	"expect",
-	"host",
-	"content-length",
-)
-
-// endToEnd returns the fields that may be passed on: without the hop-by-hop
-// fields and without those that a Connection field names.
-func endToEnd(fields []http1.Field) []http1.Field {
-	named := waxwingpick.NewSet[string]()
-	for _, f := range fields {
-		if !strings.EqualFold(f.Name, "Connection") {
-			continue
-		}
-		for name := range strings.SplitSeq(f.Value, ",") {
-			named.Add(strings.ToLower(strings.TrimSpace(name)))
-		}
-	}
-	kept := make([]http1.Field, 0, len(fields))
-	for _, f := range fields {
-		name := strings.ToLower(f.Name)
-		if !hopByHop.Has(name) && !named.Has(name) {
-			kept = append(kept, f)
-		}
-	}
-	return kept
-}
-
 // check refuses what would change the message's framing or target.
 func check(req waxwingpick.CallRequest) error {
 	if !httpguts.ValidHeaderFieldName(req.Method) {
--- a/target.go
+++ b/target.go
@@ -60,9 +60,8 @@
 	NotRun bool
 	// Misdirected says that another target has the address.
 	Misdirected bool
-	// Running and Waiting are the requests at the target, where it tells them.
+	// Running is the number of requests at the target, where it tells it.
 	Running Option[int]
-	Waiting Option[int]
 }
 
 // RawEvent is one event of a streamed answer, as its target sent it.
@@ -82,7 +81,6 @@
 // Prefilled is KV cache that a target keeps of a prompt.
 type Prefilled struct {
 	Source KVSource
-	Tokens int
 }
 
 // Dispatcher is the port to all targets. Its errors are ErrEngineUnreachable where nothing was sent, ErrEngineRefused
