--- a/core/balance/pool.go
+++ b/core/balance/pool.go
@@ -113,33 +113,34 @@
 }
 
 // Failed notes that a target is not there, or gave no answer.
-func (p *Pool) Failed(now time.Time, id waxwingpick.TargetID, absent bool) {
+func (p *Pool) Failed(now time.Time, id waxwingpick.TargetID, absent bool) ejection.Change {
 	m, ok := p.members[id]
 	switch {
 	case !ok:
+		return ejection.ChangeNone
 	case absent:
-		m.answers.Unreachable(now)
-	default:
-		m.answers.Lost(now)
+		return m.answers.Unreachable(now)
 	}
+	return m.answers.Lost(now)
 }
 
 // End notes how a call ended: told is the number of calls at the target, where it told it.
-func (p *Pool) End(now time.Time, id waxwingpick.TargetID, failed bool, told waxwingpick.Option[int]) {
+func (p *Pool) End(now time.Time, id waxwingpick.TargetID, failed bool, told waxwingpick.Option[int]) ejection.Change {
 	m, ok := p.members[id]
 	if !ok {
-		return
+		return ejection.ChangeNone
 	}
 	m.running = max(0, m.running-1)
-	outcome := 0.0
+	outcome, change := 0.0, ejection.ChangeNone
 	if failed {
 		outcome = 1
 	} else {
-		m.answers.Answered()
+		change = m.answers.Answered()
 	}
 	m.failures += failureWeight * (outcome - m.failures)
 	if calls, ok := told.Get(); ok {
 		m.others = max(0, calls-m.running)
 		m.toldAt = now
 	}
+	return change
 }
--- a/core/ejection/ejection.go
+++ b/core/ejection/ejection.go
@@ -16,6 +16,19 @@
 	mostDoublings = 8
 )
 
+// Change says how an event changed what is believed of a target.
+type Change uint8
+
+// The changes.
+const (
+	// ChangeNone says that the belief stays.
+	ChangeNone Change = iota
+	// ChangeOut says that a target is out that was not.
+	ChangeOut
+	// ChangeBack says that a target answers again.
+	ChangeBack
+)
+
 // Target tells whether requests may be sent to one target; it is not safe for concurrent use, and its zero value is a
 // target that answers.
 type Target struct {
@@ -28,31 +41,41 @@
 }
 
 // Unreachable notes that the target took no connection.
-func (t *Target) Unreachable(now time.Time) {
-	t.put(now)
+func (t *Target) Unreachable(now time.Time) Change {
+	return t.put(now)
 }
 
 // Lost notes that the target took a request and gave no answer.
-func (t *Target) Lost(now time.Time) {
+func (t *Target) Lost(now time.Time) Change {
 	if t.lost++; t.lost >= lostInRow || t.outs > 0 {
-		t.put(now)
+		return t.put(now)
 	}
+	return ChangeNone
 }
 
 // put puts the target out, for longer each time.
-func (t *Target) put(now time.Time) {
+func (t *Target) put(now time.Time) Change {
 	if t.Out(now) && !t.probed {
 		// Requests that were under way together count once.
-		return
+		return ChangeNone
 	}
 	t.until = now.Add(min(mostOut, firstOut<<min(t.outs, mostDoublings)))
 	t.outs++
 	t.probed = false
+	if t.outs > 1 {
+		return ChangeNone
+	}
+	return ChangeOut
 }
 
 // Answered notes that the target answered.
-func (t *Target) Answered() {
+func (t *Target) Answered() Change {
+	out := t.outs > 0
 	*t = Target{}
+	if out {
+		return ChangeBack
+	}
+	return ChangeNone
 }
 
 // Out reports whether requests are to go elsewhere.
--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -160,19 +160,19 @@
 }
 
 // Read notes that the engine has read the prompt, or fetched what was read of it.
-func (l *Leg) Read(now time.Time) {
+func (l *Leg) Read(now time.Time) ejection.Change {
 	if l.read {
-		return
+		return ejection.ChangeNone
 	}
 	l.read = true
 	if l.begun.After(l.engine.served) {
 		l.engine.served = l.begun
 	}
-	l.engine.answers.Answered()
 	if l.done(now) && l.alone && l.work > 0 {
 		// Only work that waited for none of ours tells how fast an engine reads.
 		l.fleet.paceOf(l.engine.target.Role).observe(l.work, now.Sub(l.begun))
 	}
+	return l.engine.answers.Answered()
 }
 
 // done ends the wait for the first event, and reports whether it had not ended before.
@@ -188,13 +188,13 @@
 }
 
 // Unreachable notes that the engine took no connection.
-func (l *Leg) Unreachable(now time.Time) {
-	l.engine.answers.Unreachable(now)
+func (l *Leg) Unreachable(now time.Time) ejection.Change {
+	return l.engine.answers.Unreachable(now)
 }
 
 // Lost notes that the engine took the request and gave no answer.
-func (l *Leg) Lost(now time.Time) {
-	l.engine.answers.Lost(now)
+func (l *Leg) Lost(now time.Time) ejection.Change {
+	return l.engine.answers.Lost(now)
 }
 
 // End notes that the engine has no more to do for the request.
--- a/core/placement/replay_test.go
+++ b/core/placement/replay_test.go
@@ -282,7 +282,7 @@
 					}
 					leg := f.Begin(now, c.Run.ID, d, false)
 					if c.Run.ID != "e0" && c.Run.ID != "e1" && c.Run.ID != "e2" {
-						w.at(now.Add(100*time.Millisecond), leg.Read)
+						w.at(now.Add(100*time.Millisecond), func(now time.Time) { leg.Read(now) })
 						w.at(now.Add(700*time.Millisecond), leg.End)
 						return
 					}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -188,15 +188,15 @@
 		Remaining: x.remaining(),
 		Priority:  x.route.Priority,
 	})
-	x.service.prefilled(x.process.timers.Now(), chosen)
-	if err == nil && x.ctx.Err() != nil {
+	if err == nil {
+		x.service.prefilled(x.process.timers.Now(), chosen)
+		if x.ctx.Err() == nil {
+			x.prefilled(reader)
+			return kept, sent{}
+		}
 		x.release(waxwingpick.Some(kept.Source))
 		err = x.ctx.Err()
 	}
-	if err == nil {
-		x.prefilled(reader)
-		return kept, sent{}
-	}
 	// Reading a prompt is not running its request.
 	s := sent{
 		err:     err,
--- a/internal/gateway/process_test.go
+++ b/internal/gateway/process_test.go
@@ -5,9 +5,11 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
 	"waxwingpick"
+	"waxwingpick/core/placement"
 	"waxwingpick/core/routetable"
 	"waxwingpick/core/timer"
 	"waxwingpick/io/prometheus"
@@ -62,3 +64,53 @@
 		require.NotNil(t, p.service("app"))
 	}
 }
+
+// TestTargetsThatGiveNoAnswersAreTold follows the log of a service through the loss and the return of an engine and of a
+// plain service's target.
+func TestTargetsThatGiveNoAnswersAreTold(t *testing.T) {
+	for _, engines := range []bool{true, false} {
+		logger, lines := logtest.NewNullLogger()
+		s := newService("service", Options{
+			Log: logger,
+		})
+		known := routetable.Service{
+			Name: "service",
+		}
+		if engines {
+			known.Engines = waxwingpick.Some(routetable.Engines{
+				MemoryTokens: 1000,
+			})
+		}
+		s.update([]waxwingpick.Target{{
+			ID:    "a",
+			Slots: 1,
+		}}, known)
+		now := time.Unix(100, 0)
+		send := func() pick {
+			if !engines {
+				chosen, ok := s.chooseTarget(now, nil)
+				require.True(t, ok)
+				return chosen
+			}
+			chosen, verdict := s.chooseEngines(now, placement.Demand{
+				Deadline: now.Add(time.Minute),
+			})
+			require.Equal(t, placement.VerdictPlaced, verdict)
+			return chosen
+		}
+		for range 3 {
+			c := send()
+			s.failed(now, c, true)
+			s.ended(now, c, true, waxwingpick.None[int]())
+		}
+		c := send()
+		s.begun(now, c)
+		s.ended(now, c, false, waxwingpick.None[int]())
+		var told []string
+		for _, e := range lines.AllEntries() {
+			require.EqualValues(t, "a", e.Data["target"])
+			told = append(told, e.Message)
+		}
+		require.Equal(t, []string{"target gives no answers: left out", "target answers again"}, told, "engines: %v", engines)
+	}
+}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -4,8 +4,11 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"waxwingpick"
 	"waxwingpick/core/balance"
+	"waxwingpick/core/ejection"
 	"waxwingpick/core/placement"
 	"waxwingpick/core/retry"
 	"waxwingpick/core/routetable"
@@ -14,6 +17,7 @@
 // service holds the targets of one service and chooses among them, under its own lock.
 type service struct {
 	name waxwingpick.ServiceName
+	log  logrus.FieldLogger
 
 	mu      sync.Mutex
 	engines bool
@@ -30,6 +34,7 @@
 	}
 	return &service{
 		name:    name,
+		log:     o.Log,
 		fleet:   placement.New(o.Zone),
 		pool:    balance.New(o.Zone),
 		retries: retries,
@@ -149,51 +154,77 @@
 
 // prefilled notes that the reading engine is done with the prompt.
 func (s *service) prefilled(now time.Time, c pick) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if c.prefillLeg != nil {
-		c.prefillLeg.Read(now)
-		c.prefillLeg.End(now)
-	}
+	s.tell(c.prefill.OrElse(c.run), s.locked(func() ejection.Change {
+		if c.prefillLeg == nil {
+			return ejection.ChangeNone
+		}
+		defer c.prefillLeg.End(now)
+		return c.prefillLeg.Read(now)
+	}))
 }
 
 // begun notes that the first event has come.
 func (s *service) begun(now time.Time, c pick) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if c.runLeg != nil {
-		c.runLeg.Read(now)
-	}
+	s.tell(c.run, s.locked(func() ejection.Change {
+		if c.runLeg == nil {
+			return ejection.ChangeNone
+		}
+		return c.runLeg.Read(now)
+	}))
 }
 
 // failed notes that the target to which an attempt was last sent is not there, or gave no answer.
 func (s *service) failed(now time.Time, c pick, absent bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	leg := c.prefillLeg
-	if c.runLeg != nil {
-		leg = c.runLeg
-	}
-	switch {
-	case leg == nil:
-		s.pool.Failed(now, c.run.ID, absent)
-	case absent:
-		leg.Unreachable(now)
-	default:
-		leg.Lost(now)
+	leg, target := c.runLeg, c.run
+	if leg == nil && c.prefillLeg != nil {
+		leg, target = c.prefillLeg, c.prefill.OrElse(c.run)
 	}
+	s.tell(target, s.locked(func() ejection.Change {
+		switch {
+		case leg == nil:
+			return s.pool.Failed(now, target.ID, absent)
+		case absent:
+			return leg.Unreachable(now)
+		}
+		return leg.Lost(now)
+	}))
 }
 
 // ended notes that an attempt is over.
 func (s *service) ended(now time.Time, c pick, failed bool, told waxwingpick.Option[int]) {
+	s.tell(c.run, s.locked(func() ejection.Change {
+		change := ejection.ChangeNone
+		if !s.engines {
+			change = s.pool.End(now, c.run.ID, failed, told)
+		}
+		for _, leg := range []*placement.Leg{c.prefillLeg, c.runLeg} {
+			if leg != nil {
+				leg.End(now)
+			}
+		}
+		return change
+	}))
+}
+
+func (s *service) locked(do func() ejection.Change) ejection.Change {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.engines {
-		s.pool.End(now, c.run.ID, failed, told)
+	return do()
+}
+
+// tell logs what is newly believed of a target.
+func (s *service) tell(t waxwingpick.Target, change ejection.Change) {
+	if change == ejection.ChangeNone {
+		return
 	}
-	for _, leg := range []*placement.Leg{c.prefillLeg, c.runLeg} {
-		if leg != nil {
-			leg.End(now)
-		}
+	log := s.log.WithFields(logrus.Fields{
+		"service": s.name,
+		"target":  t.ID,
+		"address": t.Address,
+	})
+	if change == ejection.ChangeOut {
+		log.Warn("target gives no answers: left out")
+		return
 	}
+	log.Info("target answers again")
 }
