demo: the rate test offers more than the rate on a slow machine too

Cause: TestWorkspaceRateHoldsOverEntries had one caller that sent one request after the other. In the red runs 80 answers took 9.9 s, so 124 ms each, eight a second under a rate of ten: nothing was to be refused, and nothing was. Ruled out: a limit that admits too much (the bound on answers held) and one request that hung (a burst after it would have been refused).

Answers in excess of the number waited for are counted too.

--- a/internal/demo/quota_test.go
+++ b/internal/demo/quota_test.go
@@ -2,10 +2,14 @@
 
 import (
 	"context"
+	"errors"
+	"fmt"
 	"net/http"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc/pool"
 	"github.com/stretchr/testify/require"
 
 	"waxwingpick"
@@ -15,8 +19,12 @@
 	"waxwingpick/io/operator"
 )
 
-// pauseOfRefused is the time after which a refused caller asks again, whatever it was told.
-const pauseOfRefused = 5 * time.Millisecond
+const (
+	// pauseOfRefused is the time after which a refused caller asks again, whatever it was told.
+	pauseOfRefused = 5 * time.Millisecond
+	// offeringCallers is how many callers offer at once.
+	offeringCallers = 8
+)
 
 // rateConfig bounds studio-1 in place of the common rate.
 func rateConfig(perSecond float64) config.Record {
@@ -29,30 +37,64 @@
 	return cfg
 }
 
-// offer sends requests of one workspace through all entries in turn until so many were answered, and returns the refusals.
-func offer(t *testing.T, c *Cluster, workspace string, answers int) (refusals []ProblemError) {
-	caller := NewCaller(workspace)
-	defer caller.Close()
-	for i, answered := 0, 0; answered < answers; i++ {
-		entry := c.Entries()[i%len(c.Entries())].CallerAddr()
-		_, err := caller.Chat(t.Context(), entry, "stundenplan", "who swapped salsa", 1)
-		if err == nil {
-			answered++
-			continue
-		}
-		var problem *ProblemError
-		require.ErrorAs(t, err, &problem)
-		refusals = append(refusals, *problem)
-		time.Sleep(pauseOfRefused)
+// offered counts what became of the requests of one workspace.
+type offered struct {
+	mu       sync.Mutex
+	answers  int
+	refusals []ProblemError
+}
+
+// lacks reports whether fewer requests than so many were answered.
+func (o *offered) lacks(answers int) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.answers < answers
+}
+
+// note counts one request by its error.
+func (o *offered) note(problem *ProblemError) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if problem == nil {
+		o.answers++
+		return
+	}
+	o.refusals = append(o.refusals, *problem)
+}
+
+// offer has callers of one workspace send requests through all entries in turn until at least so many were answered. There
+// are several callers, so that a slow machine also offers more than the rate.
+func offer(t *testing.T, c *Cluster, workspace string, answers int) *offered {
+	o := new(offered)
+	calls := pool.New().WithErrors()
+	for n := range offeringCallers {
+		calls.Go(func() error {
+			caller := NewCaller(workspace)
+			defer caller.Close()
+			for i := n; o.lacks(answers); i++ {
+				entry := c.Entries()[i%len(c.Entries())].CallerAddr()
+				_, err := caller.Chat(t.Context(), entry, "stundenplan", "who swapped salsa", 1)
+				var problem *ProblemError
+				if err != nil && !errors.As(err, &problem) {
+					return fmt.Errorf("offer through %s: %w", entry, err)
+				}
+				o.note(problem)
+				if problem != nil {
+					time.Sleep(pauseOfRefused)
+				}
+			}
+			return nil
+		})
 	}
-	return refusals
+	require.NoError(t, calls.Wait())
+	return o
 }
 
 // TestWorkspaceRateHoldsOverEntries sends more than a workspace's rate through two entries to two engines; the engines see
 // no more than the rate, wherever the requests come from, and other workspaces notice nothing.
 func TestWorkspaceRateHoldsOverEntries(t *testing.T) {
 	t.Parallel()
-	const perSecond, answers = 10, 80
+	const perSecond, answers = 4, 40
 	c := startCluster(t, Layout{
 		Config:        rateConfig(perSecond),
 		Engines:       2,
@@ -61,11 +103,11 @@
 	})
 	limit := quota.NewLimit(perSecond, 2*perSecond)
 	started := time.Now()
-	refusals := offer(t, c, "studio-1", answers)
+	o := offer(t, c, "studio-1", answers)
 	allowed := limit.Reserve() + 2*limit.Base(2) + (1+quota.SilentFraction)*perSecond*time.Since(started).Seconds()
-	require.LessOrEqual(t, float64(answers), allowed)
-	require.NotEmpty(t, refusals)
-	for _, r := range refusals {
+	require.LessOrEqual(t, float64(o.answers), allowed)
+	require.NotEmpty(t, o.refusals)
+	for _, r := range o.refusals {
 		require.Equal(t, http.StatusTooManyRequests, r.Problem().Status)
 		require.Equal(t, waxwingpick.ReasonRateLimit, r.Problem().Reason)
 		require.Equal(t, waxwingpick.OutcomeNotRun, r.Problem().Outcome)
@@ -75,24 +117,24 @@
 	for _, e := range c.Engines() {
 		runs += len(e.Record().Runs)
 	}
-	require.Equal(t, answers, runs, "what was refused reached no engine")
-	require.Empty(t, offer(t, c, "studio-2", answers))
+	require.Equal(t, o.answers, runs, "what was refused reached no engine")
+	require.Empty(t, offer(t, c, "studio-2", answers).refusals)
 	told := 0
 	for _, e := range c.Entries() {
 		status, err := e.Status(t.Context(), operator.StatusRequest{})
 		require.NoError(t, err)
-		for _, o := range status.OverRate {
-			require.EqualValues(t, "studio-1", o.Workspace)
-			told += o.Refused
+		for _, w := range status.OverRate {
+			require.EqualValues(t, "studio-1", w.Workspace)
+			told += w.Refused
 		}
 	}
-	require.Equal(t, len(refusals), told)
+	require.Equal(t, len(o.refusals), told)
 
 	// Without one of the entries, and with the key-value service down, the other one goes on.
 	c.Store().SetDown(true)
 	require.NoError(t, c.entries[1].Stop(context.Background()))
 	c.entries = c.entries[:1]
-	require.NotEmpty(t, offer(t, c, "studio-1", answers/4))
+	require.NotEmpty(t, offer(t, c, "studio-1", answers/4).refusals)
 }
 
 // TestOverRateKeyedOrderIsUnknown refuses an order before its claim is read, so an earlier sending may have run.
