placement: sizes that callers and peers tell are bounded; one wait for the last work

Cause: token counts of any size were taken, so that a prompt of 1e18 tokens overflowed the estimates and an engine that worked on it looked free; the same by figures of other processes. FuzzChoose and TestToldFiguresAreBounded fail on the former code (predicted -2562047h; work, running, overdue and occupied placed on the busy engine; used -3). Now the length of a prompt is bounded at 2^23 tokens, its parts by its length, and what is told by that and a minute.

--- a/core/placement/cache.go
+++ b/core/placement/cache.go
@@ -9,11 +9,16 @@
 	"waxwingpick"
 )
 
+// mostTokens is the longest prompt that is told apart from longer ones; it is some twenty times what engines remember.
+const mostTokens = 1 << 23
+
 // Parts are a prompt's parts: a key for each, which identifies it together with all parts before it and the model, and
-// their sizes.
+// their sizes. Sizes are within bounds, whatever a caller says.
 type Parts struct {
 	keys   []uint64
 	tokens []int
+	// prompt is the length of the whole prompt in tokens.
+	prompt int
 }
 
 // PartsOf returns the parts of a prompt.
@@ -21,14 +26,18 @@
 	parts := Parts{
 		keys:   make([]uint64, 0, len(p.Parts)),
 		tokens: make([]int, 0, len(p.Parts)),
+		prompt: max(0, min(mostTokens, p.Tokens)),
 	}
+	rest := parts.prompt
 	digest := xxhash.New()
 	// Writing to a digest never fails.
 	_, _ = digest.WriteString(p.Model)
 	for _, part := range p.Parts {
 		_, _ = digest.WriteString("/" + part.ID)
 		parts.keys = append(parts.keys, digest.Sum64())
-		parts.tokens = append(parts.tokens, max(0, part.Tokens))
+		size := max(0, min(rest, part.Tokens))
+		rest -= size
+		parts.tokens = append(parts.tokens, size)
 	}
 	return parts
 }
--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -146,7 +146,7 @@
 		leg.predicted += splitCost
 	} else {
 		leg.predicted += before.read
-		leg.work = readTime(d.Prompt.Tokens, before.held)
+		leg.work = readTime(d.Parts.prompt, before.held)
 		if leg.alone {
 			e.freed = now
 		}
--- a/core/placement/memory.go
+++ b/core/placement/memory.go
@@ -7,8 +7,8 @@
 	priorities = 10
 	// firstResidence is how long a request occupies memory before any was seen to.
 	firstResidence = time.Second
-	// residenceWeight is the share of a new request in the mean residence, for one of a hundredth of an engine's memory.
-	residenceWeight = 0.02
+	// residenceWeight is the share of a new request in the mean residence, by the share of an engine's memory that it occupied.
+	residenceWeight = 2
 )
 
 // memory counts the tokens that requests occupy at an engine, the parts that several of them share once.
@@ -85,7 +85,7 @@
 
 // observe takes the residence of a request that occupied a share of an engine's memory.
 func (r *residence) observe(took time.Duration, share float64) {
-	weight := min(1, residenceWeight*100*share)
+	weight := min(1, residenceWeight*share)
 	r.mean += time.Duration(weight * float64(took-r.mean))
 }
 
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -287,7 +287,7 @@
 		far = farCost + time.Duration(d.Bytes)*farByteCost
 	}
 	need := e.memory.need(d.Parts)
-	wait, read := p.scale(all.work), p.base+p.scale(readTime(d.Prompt.Tokens, held))
+	wait, read := p.scale(all.work), p.base+p.scale(readTime(d.Parts.prompt, held))
 	return option{
 		engine:  e,
 		held:    held,
@@ -341,7 +341,7 @@
 
 // fetchTime is the time of the transfer to an engine that keeps a part of the prompt already.
 func (f *Fleet) fetchTime(o option, d Demand, from option) time.Duration {
-	bytes := float64(max(0, d.Prompt.Tokens-o.held)) * float64(f.traits.TokenBytes)
+	bytes := float64(max(0, d.Parts.prompt-o.held)) * float64(f.traits.TokenBytes)
 	rate := f.traits.LinkBytesPerSecond
 	if rate <= 0 {
 		return 0
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -221,10 +222,105 @@
 			ID:     "a",
 			Tokens: -5,
 		}},
+		Tokens: 100,
 	})
 	require.Equal(t, []int{0}, p.tokens)
 }
 
+func TestPartsAreNoLargerThanTheirPrompt(t *testing.T) {
+	p := PartsOf(waxwingpick.Prompt{
+		Parts: []waxwingpick.PromptPart{
+			{
+				ID:     "a",
+				Tokens: 60,
+			},
+			{
+				ID:     "b",
+				Tokens: math.MaxInt,
+			},
+		},
+		Tokens: 100,
+	})
+	require.Equal(t, []int{60, 40}, p.tokens)
+}
+
+func TestToldFiguresAreBounded(t *testing.T) {
+	for name, told := range map[string]EngineLoad{
+		"work":     {WorkMillis: math.MaxInt64},
+		"running":  {Running: math.MaxInt},
+		"overdue":  {OverdueMillis: math.MaxInt64},
+		"occupied": {Occupied: []int{math.MaxInt, math.MaxInt}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := fleetOf(engineTarget("d", waxwingpick.RoleDecode))
+			told.Engine = KeyOf("d")
+			f.Observe(start, "peer", Summary{
+				Engines: []EngineLoad{told},
+			})
+			c, verdict := f.Choose(start, demand("a", 200))
+			require.Equal(t, VerdictLate, verdict)
+			require.Greater(t, c.Predicted, 10*time.Second)
+		})
+	}
+	f := fleetOf(engineTarget("d", waxwingpick.RoleDecode))
+	f.Observe(start, "peer", Summary{
+		Reads: []Read{{
+			Engine: KeyOf("d"),
+			Keys:   []uint64{1, 2, 3},
+			Tokens: []int{math.MaxInt, math.MaxInt, -1},
+		}},
+	})
+	require.Zero(t, f.engines["d"].cache.used)
+}
+
+// FuzzChoose has an engine work on prompts of whatever size a caller names, after which it never looks idle, and a prompt
+// that takes hours is never placed.
+func FuzzChoose(f *testing.F) {
+	f.Add(1_000, 100, 500, uint8(1))
+	f.Add(math.MaxInt, math.MaxInt, math.MaxInt, uint8(200))
+	f.Add(1_000_000_000_000_000_000, 3, math.MinInt, uint8(9))
+	f.Add(mostTokens, mostTokens, -1, uint8(255))
+	f.Fuzz(func(t *testing.T, tokens, part, output int, times uint8) {
+		prompt := waxwingpick.Prompt{
+			Model: "m",
+			Parts: []waxwingpick.PromptPart{
+				{
+					ID:     "shared",
+					Tokens: part,
+				},
+				{
+					ID:     "own",
+					Tokens: part,
+				},
+			},
+			Tokens:    tokens,
+			MaxOutput: output,
+		}
+		d := Demand{
+			Prompt:   prompt,
+			Parts:    PartsOf(prompt),
+			Deadline: start.Add(4 * time.Second),
+		}
+		engines := fleetOf(engineTarget("d", waxwingpick.RoleDecode), engineTarget("p", waxwingpick.RolePrefill))
+		first, verdict := engines.Choose(start, d)
+		require.GreaterOrEqual(t, first.Predicted, time.Duration(0))
+		if tokens > 1_000_000 {
+			require.Equal(t, VerdictLate, verdict)
+		}
+		if verdict != VerdictPlaced {
+			return
+		}
+		for range times {
+			engines.Begin(start, "d", d, false)
+			engines.Begin(start, "p", d, false)
+		}
+		second, _ := engines.Choose(start, d)
+		require.GreaterOrEqual(t, second.Ahead, first.Ahead)
+		require.GreaterOrEqual(t, second.Predicted, time.Duration(0))
+		require.GreaterOrEqual(t, second.cost, time.Duration(0))
+	})
+}
+
 func TestEngineThatTakesNoConnectionIsLeftOut(t *testing.T) {
 	f := fleetOf(engineTarget("d1", waxwingpick.RoleDecode), engineTarget("d2", waxwingpick.RoleDecode), engineTarget("p", waxwingpick.RolePrefill))
 	f.Begin(start, "d1", demand("a", 200), false).Unreachable(start)
--- a/core/placement/summary.go
+++ b/core/placement/summary.go
@@ -114,13 +114,13 @@
 			continue
 		}
 		p := peerLoad{
-			work:    time.Duration(max(0, l.WorkMillis)) * time.Millisecond,
-			running: max(0, l.Running),
-			overdue: time.Duration(max(0, l.OverdueMillis)) * time.Millisecond,
+			work:    toldTime(l.WorkMillis),
+			running: max(0, min(mostTokens, l.Running)),
+			overdue: toldTime(l.OverdueMillis),
 			at:      now,
 		}
 		for rank, tokens := range l.Occupied[:min(len(l.Occupied), priorities)] {
-			p.occupied[rank] = max(0, tokens)
+			p.occupied[rank] = max(0, min(mostTokens, tokens))
 		}
 		e.peers[peer] = p
 	}
@@ -129,13 +129,25 @@
 		if !ok || len(r.Keys) != len(r.Tokens) {
 			continue
 		}
+		sizes := make([]int, len(r.Tokens))
+		for i, tokens := range r.Tokens {
+			sizes[i] = max(0, min(mostTokens, tokens))
+		}
 		e.cache.use(Parts{
 			keys:   r.Keys,
-			tokens: r.Tokens,
+			tokens: sizes,
 		})
 	}
 }
 
+// mostTold bounds what another process may say that an engine is busy for: a few times what any request waits.
+const mostTold = time.Minute
+
+// toldTime returns the time that another process told, within its bounds.
+func toldTime(millis int64) time.Duration {
+	return time.Duration(max(0, min(mostTold.Milliseconds(), millis))) * time.Millisecond
+}
+
 // leastTold is the smallest part, in tokens, that others are told of: smaller ones are read again in a few milliseconds.
 const leastTold = 256
 
--- a/internal/entry/process.go
+++ b/internal/entry/process.go
@@ -33,8 +33,6 @@
 	"waxwingpick/io/sidecar"
 )
 
-const stopPoll = 50 * time.Millisecond
-
 var errNotReady = eris.New("not ready")
 
 var _ openai.Backend = (*Process)(nil)
@@ -245,11 +243,7 @@
 func (p *Process) Stop(ctx context.Context) error {
 	p.gate.Stop(p.timers.Now())
 	p.log.WithField("running", p.gate.Running()).Info("entry stops: not ready")
-	for p.gate.Phase(p.timers.Now()) != drain.PhaseDrained {
-		if !p.pause(ctx, stopPoll) {
-			break
-		}
-	}
+	p.gate.Await(ctx, p.timers)
 	running := p.gate.Running()
 	for _, stop := range p.stops {
 		stop()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -148,7 +148,10 @@
 	})
 	s := x.judge(reply, err)
 	if s.refusal != nil {
-		x.attempts -= x.countUnsent(s)
+		if s.unsent() {
+			x.attempts--
+		}
+		x.countUnsent(s)
 		x.release(source)
 	}
 	if s.refusal == nil && reply.Events != nil {
@@ -158,14 +161,12 @@
 	return chosen, s
 }
 
-// countUnsent takes a sending of which nothing reached a target off the bounds, and returns 1 where it was one.
-func (x *exchange) countUnsent(s sent) int {
-	if !s.unsent() {
-		return 0
+// countUnsent takes a sending of which nothing reached a target off the bound of all sendings.
+func (x *exchange) countUnsent(s sent) {
+	if s.unsent() {
+		x.calls--
+		x.unsent++
 	}
-	x.calls--
-	x.unsent++
-	return 1
 }
 
 // resumeAfter returns the event after which the caller wants a stream to go on, where its route allows that.
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -63,9 +63,9 @@
 				"after":  revision,
 			}).Info("history is gone: all keys are read again")
 			known = false
-			continue
+		default:
+			s.lost()
 		}
-		s.lost()
 		timer.Sleep(p.lifecycle, p.timers, retry/2+time.Duration(random.Int64N(int64(retry))))
 		retry = min(mostRetry, 2*retry)
 	}
@@ -157,7 +157,7 @@
 	now := p.timers.Now()
 	targets := make([]waxwingpick.Target, 0, len(entries))
 	for _, e := range entries {
-		if t, ok := s.read(now, e); ok {
+		if t, ok := s.read(e); ok {
 			targets = append(targets, t)
 		}
 	}
@@ -169,8 +169,7 @@
 
 func (s *targetsSink) put(e waxwingpick.Entry) {
 	p := s.process
-	now := p.timers.Now()
-	t, ok := s.read(now, e)
+	t, ok := s.read(e)
 	if !ok {
 		s.remove(e.Key)
 		return
@@ -188,8 +187,8 @@
 }
 
 // read decodes an entry; one that names no target to use is logged and left out.
-func (s *targetsSink) read(now time.Time, e waxwingpick.Entry) (waxwingpick.Target, bool) {
-	t, err := s.process.options.Catalog.Target(now, e)
+func (s *targetsSink) read(e waxwingpick.Entry) (waxwingpick.Target, bool) {
+	t, err := s.process.options.Catalog.Target(e)
 	if err != nil {
 		s.process.log.WithFields(logrus.Fields{
 			"key":      e.Key,
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -18,12 +18,10 @@
 	"waxwingpick/core/drain"
 	"waxwingpick/core/routetable"
 	"waxwingpick/core/targetlist"
-	"waxwingpick/core/timer"
 	"waxwingpick/core/trail"
 )
 
 const (
-	stopPoll = 50 * time.Millisecond
 	// expiryPeriod is the time between two looks for targets whose entries did not come back.
 	expiryPeriod = 100 * time.Millisecond
 )
@@ -100,11 +98,7 @@
 func (p *Process) Drain(ctx context.Context) {
 	p.gate.Stop(p.timers.Now())
 	p.log.WithField("running", p.gate.Running()).Info("entry stops: not ready")
-	for p.gate.Phase(p.timers.Now()) != drain.PhaseDrained {
-		if !timer.Sleep(ctx, p.timers, stopPoll) {
-			return
-		}
-	}
+	p.gate.Await(ctx, p.timers)
 }
 
 // Stop ends what still runs.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -86,7 +86,9 @@
 	}
 	if err := p.gate.EnterFor(now, x.gateID, x.deadline.Sub(now)); err != nil {
 		var refusal *waxwingpick.Refusal
-		errors.As(err, &refusal)
+		if !errors.As(err, &refusal) {
+			refusal = waxwingpick.NotRun(waxwingpick.ReasonStopping, notReadyRetry, err.Error())
+		}
 		return p.refuse(t, refusal)
 	}
 	x.ctx, x.cancel = context.WithDeadline(ctx, x.deadline)
--- a/target.go
+++ b/target.go
@@ -22,8 +22,6 @@
 	Leaving bool
 	// Born is the start of this run in Unix milliseconds; zero where it does not say.
 	Born int64
-	// ColdUntil is when it reaches its full speed; zero where it has.
-	ColdUntil time.Time
 }
 
 // KVSource names KV cache that a target holds for one other run.
