placement: engines copy from each other what they would read again

A copy takes 14 ms where reading takes 260. Now the request names the engine that keeps most of its prompt, for a second at least, and copies from there what its own lacks; engines are chosen as before.

--- a/core/placement/cache.go
+++ b/core/placement/cache.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -53,6 +54,7 @@
 type cached struct {
 	key    uint64
 	tokens int
+	since  time.Time
 }
 
 func newCache(capacity int) *cache {
@@ -75,8 +77,21 @@
 	return held
 }
 
+// heldSince returns the tokens of a prompt's beginning that the engine keeps since a time.
+func (c *cache) heldSince(since time.Time, p Parts) int {
+	held := 0
+	for i, key := range p.keys {
+		e, ok := c.entries[key]
+		if !ok || e.Value.(cached).since.After(since) {
+			break
+		}
+		held += p.tokens[i]
+	}
+	return held
+}
+
 // use notes that the engine reads or uses a prompt's parts.
-func (c *cache) use(p Parts) {
+func (c *cache) use(now time.Time, p Parts) {
 	// A part is of no use without those before it, so the first ones are kept longest.
 	for i, key := range slices.Backward(p.keys) {
 		if e, ok := c.entries[key]; ok {
@@ -86,6 +101,7 @@
 		c.entries[key] = c.order.PushFront(cached{
 			key:    key,
 			tokens: p.tokens[i],
+			since:  now,
 		})
 		c.used += p.tokens[i]
 	}
--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -116,6 +116,7 @@
 	engine *engine
 	fleet  *Fleet
 	parts  Parts
+	from   waxwingpick.Option[waxwingpick.Target]
 	work   time.Duration
 	// predicted is the wait for the first event, or for the end of the reading.
 	predicted time.Duration
@@ -125,8 +126,8 @@
 	over      bool
 }
 
-// Begin notes that a request is sent to an engine, which reads its prompt beyond what it keeps, or nothing of it where
-// the KV cache is fetched.
+// Begin notes that a request is sent to an engine, which reads its prompt beyond what it keeps or copies from another
+// engine, or nothing of it where the KV cache is fetched.
 func (f *Fleet) Begin(now time.Time, id waxwingpick.TargetID, d Demand, fetched bool) *Leg {
 	e, ok := f.engines[id]
 	if !ok {
@@ -147,18 +148,27 @@
 	} else {
 		leg.predicted += before.read
 		leg.work = readTime(d.Parts.prompt, before.held)
+		if c, ok := f.copyFor(now, e, d.Parts, before.held).Get(); ok {
+			leg.from = waxwingpick.Some(c.from)
+			leg.work = c.took + readTime(d.Parts.prompt, c.held)
+		}
 		if leg.alone {
 			e.freed = now
 		}
 	}
 	e.pending[leg] = struct{}{}
-	e.cache.use(d.Parts)
+	e.cache.use(now, d.Parts)
 	e.memory.take(d.Parts, d.Priority)
 	f.noteRead(id, d.Parts)
 	e.running++
 	return leg
 }
 
+// From returns the engine from which the leg's engine is to copy what it lacks of the prompt; none where it reads all of it.
+func (l *Leg) From() waxwingpick.Option[waxwingpick.Target] {
+	return l.from
+}
+
 // Read notes that the engine has read the prompt, or fetched what was read of it.
 func (l *Leg) Read(now time.Time) ejection.Change {
 	if l.read {
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -76,6 +76,8 @@
 	resides residence
 	// readings is how often the reading of a prompt counts in its cost.
 	readings int
+	// copies says that engines copy KV cache from each other.
+	copies bool
 }
 
 // costReadings is how often the reading of a prompt counts in its cost: once until its first event, and once more since in
@@ -93,6 +95,7 @@
 		zone:     zone,
 		engines:  make(map[waxwingpick.TargetID]*engine),
 		readings: costReadings,
+		copies:   true,
 		resides: residence{
 			mean: firstResidence,
 		},
@@ -229,7 +232,7 @@
 func (f *Fleet) split(d Demand, reader option, runners []option) Choice {
 	best := Choice{}
 	for i, o := range runners {
-		rest := splitCost + f.fetchTime(o, d, reader) + o.wait + o.silence + o.crowding()
+		rest := splitCost + f.transferTime(d.Parts.prompt-o.held, reader.engine.target, o.engine.target) + o.wait + o.silence + o.crowding()
 		cost := reader.cost + o.roomAll + rest
 		if i == 0 || cost < best.cost {
 			best = Choice{
@@ -254,8 +257,6 @@
 	farCost = 30 * time.Millisecond
 	// farByteCost is farCost's share of each byte of a request; a large one is worth a wait of a tenth of a second.
 	farByteCost = 2500 * time.Nanosecond
-	// farFactor is how much longer a transfer between availability zones takes.
-	farFactor = 2
 )
 
 func (f *Fleet) usable(e *engine, d Demand) bool {
@@ -338,17 +339,3 @@
 	// overfullTime is the wait for a slot behind one more request than an engine has slots.
 	overfullTime = 50 * time.Millisecond
 )
-
-// fetchTime is the time of the transfer to an engine that keeps a part of the prompt already.
-func (f *Fleet) fetchTime(o option, d Demand, from option) time.Duration {
-	bytes := float64(max(0, d.Parts.prompt-o.held)) * float64(f.traits.TokenBytes)
-	rate := f.traits.LinkBytesPerSecond
-	if rate <= 0 {
-		return 0
-	}
-	took := time.Duration(bytes / rate * float64(time.Second))
-	if from.engine.target.Zone != o.engine.target.Zone {
-		took *= farFactor
-	}
-	return took
-}
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -205,10 +205,10 @@
 		return p
 	}
 	c := newCache(100)
-	c.use(part(1))
-	c.use(part(2))
-	c.use(part(1))
-	c.use(part(3))
+	c.use(start, part(1))
+	c.use(start, part(2))
+	c.use(start, part(1))
+	c.use(start, part(3))
 	require.Equal(t, 60, c.held(part(1)))
 	require.Zero(t, c.held(part(2)))
 	// A part is of no use without those before it.
--- a/core/placement/replay_test.go
+++ b/core/placement/replay_test.go
@@ -17,6 +17,7 @@
 	name     string
 	shared   bool
 	readings int
+	copies   bool
 }
 
 // tally is what a replay's requests got.
@@ -97,6 +98,7 @@
 	for range replayGateways {
 		f := fleetOf(targets...)
 		f.readings = r.readings
+		f.copies = r.copies
 		w.gateways = append(w.gateways, f)
 	}
 	return w
@@ -170,7 +172,7 @@
 		reader = c.Run
 	}
 	leg := f.Begin(now, reader.ID, d.Demand, false)
-	w.at(w.read(now, reader, d.Demand), func(now time.Time) {
+	w.at(w.read(now, reader, d.Demand, leg.From()), func(now time.Time) {
 		leg.Read(now)
 		first := now
 		if split {
@@ -178,7 +180,7 @@
 			run, _ := f.ChooseRun(now, d.Demand, reader)
 			leg = f.Begin(now, run.ID, d.Demand, true)
 			leg.Read(now)
-			w.kept[run.ID].use(d.Parts)
+			w.kept[run.ID].use(start, d.Parts)
 			first = now.Add(20 * time.Millisecond)
 		}
 		w.count(first, d)
@@ -187,17 +189,25 @@
 }
 
 // read returns when an engine will have read a prompt.
-func (w *replay) read(now time.Time, t waxwingpick.Target, d Demand) time.Time {
+func (w *replay) read(now time.Time, t waxwingpick.Target, d Demand, from waxwingpick.Option[waxwingpick.Target]) time.Time {
 	held := w.kept[t.ID].held(d.Parts)
+	copied := time.Duration(0)
+	if other, ok := from.Get(); ok {
+		if kept := w.kept[other.ID].held(d.Parts); kept > held {
+			copied = milliseconds(float64(kept-held) * float64(traits().TokenBytes) / traits().LinkBytesPerSecond * 1000)
+			held = kept
+		}
+	}
 	if held == 0 && w.seen[d.Parts.keys[0]] {
 		w.tally.readAgain += d.Parts.tokens[0]
 	}
 	w.seen[d.Parts.keys[0]] = true
-	w.kept[t.ID].use(d.Parts)
+	w.kept[t.ID].use(start, d.Parts)
 	took := readTime(d.Prompt.Tokens, held)
 	if t.Role != waxwingpick.RolePrefill {
 		took = time.Duration(decodeSlowdown * float64(took))
 	}
+	took += copied
 	begin := w.free[t.ID]
 	if begin.Before(now) {
 		begin = now
@@ -244,6 +254,12 @@
 			shared:   true,
 			readings: costReadings,
 		},
+		{
+			name:     "copies",
+			shared:   true,
+			readings: costReadings,
+			copies:   true,
+		},
 	} {
 		results[r.name] = newReplay(r).run(r)
 		t.Logf("%s: %s", r.name, results[r.name])
@@ -251,6 +267,8 @@
 	require.Greater(t, results["shared"].inAim, results["alone"].inAim)
 	require.Greater(t, results["sharedReadingTwice"].inAim, results["shared"].inAim)
 	require.Less(t, results["sharedReadingTwice"].readAgain, results["shared"].readAgain)
+	require.Greater(t, results["copies"].inAim, results["sharedReadingTwice"].inAim)
+	require.Less(t, results["copies"].readAgain, results["sharedReadingTwice"].readAgain)
 }
 
 // TestReplayOfCrashedEngines crashes a quarter of the engines while the platform's list still has them: they refuse each
--- a/core/placement/summary.go
+++ b/core/placement/summary.go
@@ -133,7 +133,7 @@
 		for i, tokens := range r.Tokens {
 			sizes[i] = max(0, min(mostTokens, tokens))
 		}
-		e.cache.use(Parts{
+		e.cache.use(now, Parts{
 			keys:   r.Keys,
 			tokens: sizes,
 		})
--- a/internal/daemon/gateway_test.go
+++ b/internal/daemon/gateway_test.go
@@ -270,6 +270,25 @@
 	require.Equal(t, "passes", h["X-Own"])
 }
 
+// TestEnginesCopyFromEachOther asks for one prompt until the engine that runs it is told where else its KV cache is kept.
+func TestEnginesCopyFromEachOther(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	s.start()
+	defer s.stop()
+	asked := 0
+	require.Eventually(t, func() bool {
+		asked++
+		_, _, whole := s.read(s.ask(fmt.Sprint("id", asked), "/quick/a", ""))
+		require.True(t, whole)
+		runs := s.runs()
+		require.Len(t, runs, asked)
+		return runs[len(runs)-1].Headers["Kv-Fetch"] == s.engines[2].Addr()
+	}, time.Minute, 100*time.Millisecond)
+	require.Empty(t, s.engines[2].Runs())
+	require.Empty(t, s.runs()[0].Headers["Kv-Fetch"], "nothing was kept yet")
+}
+
 func TestStreamGoesOnAtAnotherEngine(t *testing.T) {
 	t.Parallel()
 	s := newSite(t)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -140,6 +140,7 @@
 	reply, err := x.process.options.Targets.Send(x.ctx, waxwingpick.Dispatch{
 		Inbound:     x.in,
 		Target:      chosen.run,
+		CopyFrom:    copyFrom(chosen.runLeg),
 		Remaining:   x.remaining(),
 		Priority:    x.route.Priority,
 		Source:      source,
@@ -186,6 +187,7 @@
 	kept, err := x.process.options.Targets.Prefill(x.ctx, waxwingpick.Dispatch{
 		Inbound:   x.in,
 		Target:    reader,
+		CopyFrom:  copyFrom(chosen.prefillLeg),
 		Remaining: x.remaining(),
 		Priority:  x.route.Priority,
 	})
@@ -207,6 +209,14 @@
 	return kept, s
 }
 
+// copyFrom returns the engine from which that of a leg copies KV cache; a plain service has no legs.
+func copyFrom(leg *placement.Leg) waxwingpick.Option[waxwingpick.Target] {
+	if leg == nil {
+		return waxwingpick.None[waxwingpick.Target]()
+	}
+	return leg.From()
+}
+
 // release frees KV cache that nobody will fetch, without keeping the caller waiting.
 func (x *exchange) release(source waxwingpick.Option[waxwingpick.KVSource]) {
 	kept, ok := source.Get()
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -152,6 +152,14 @@
 	runLeg     *placement.Leg
 }
 
+// readLeg returns the leg that reads the prompt; nil at a plain service.
+func (p pick) readLeg() *placement.Leg {
+	if p.prefillLeg != nil {
+		return p.prefillLeg
+	}
+	return p.runLeg
+}
+
 // prefilled notes that the reading engine is done with the prompt.
 func (s *service) prefilled(now time.Time, c pick) {
 	s.tell(c.prefill.OrElse(c.run), s.locked(func() ejection.Change {
--- a/internal/gateway/trails.go
+++ b/internal/gateway/trails.go
@@ -32,6 +32,9 @@
 	if reader, ok := c.prefill.Get(); ok {
 		inputs = append(inputs, waxwingpick.In("prefill", reader.ID))
 	}
+	if from, ok := copyFrom(c.readLeg()).Get(); ok {
+		inputs = append(inputs, waxwingpick.In("copyFrom", from.ID))
+	}
 	x.trail.Add(waxwingpick.ActionChoose.Of(now, string(c.run.ID), inputs...))
 }
 
--- a/target.go
+++ b/target.go
@@ -39,6 +39,9 @@
 	Remaining time.Duration
 	// Priority is the rank at the target, 0 first.
 	Priority int
+	// CopyFrom is the target from whose KV cache this one copies what it lacks of the prompt before it reads the rest; none
+	// where it reads all that it lacks.
+	CopyFrom Option[Target]
 	// Source is the KV cache to start from; none where the target reads the whole prompt.
 	Source Option[KVSource]
 	// ResumeAfter names the event after which a stream goes on; empty for its beginning.
