read again: repeated pieces made one, fields that nothing reads gone

Route.PauseAim, Service.MaxConnections and Engines.Slots, which nothing read, are gone. - tests: startSite, setFaults, requireOwn and stopping instead of repeated set-up; every assertion stays. A fixture of the removed Engines.Slots went with it.

Left: Table.Limits, which only a test reads; Begin, which computes the option of Choose once more; the tails of the two Stops, which differ in order until there is one serving path; the one-line random source in seven places.

--- a/core/drain/await_test.go
+++ b/core/drain/await_test.go
@@ -10,13 +10,19 @@
 	"waxwingpick/core/timer"
 )
 
-func TestAwaitEndsOnceNothingRuns(t *testing.T) {
+// stopping returns a gate that stops while one piece of work, named a, runs.
+func stopping(t *testing.T) (*Gate, *timer.System) {
 	timers := timer.NewSystem()
-	defer timers.Close()
+	t.Cleanup(timers.Close)
 	g, err := New()
 	require.NoError(t, err)
 	require.NoError(t, g.Enter(timers.Now(), "a", false))
 	g.Stop(timers.Now())
+	return g, timers
+}
+
+func TestAwaitEndsOnceNothingRuns(t *testing.T) {
+	g, timers := stopping(t)
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -32,12 +38,7 @@
 }
 
 func TestAwaitEndsWithItsContext(t *testing.T) {
-	timers := timer.NewSystem()
-	defer timers.Close()
-	g, err := New()
-	require.NoError(t, err)
-	require.NoError(t, g.Enter(timers.Now(), "a", false))
-	g.Stop(timers.Now())
+	g, timers := stopping(t)
 	ctx, cancel := context.WithTimeout(t.Context(), awaitPoll)
 	defer cancel()
 	g.Await(ctx, timers)
--- a/core/placement/cache.go
+++ b/core/placement/cache.go
@@ -13,6 +13,11 @@
 // mostTokens is the longest prompt that is told apart from longer ones; it is some twenty times what engines remember.
 const mostTokens = 1 << 23
 
+// within returns a figure that callers or other processes tell, at least zero and at most a bound.
+func within[N int | int64](told, most N) N {
+	return max(0, min(most, told))
+}
+
 // Parts are a prompt's parts: a key for each, which identifies it together with all parts before it and the model, and
 // their sizes. Sizes are within bounds, whatever a caller says.
 type Parts struct {
@@ -27,7 +32,7 @@
 	parts := Parts{
 		keys:   make([]uint64, 0, len(p.Parts)),
 		tokens: make([]int, 0, len(p.Parts)),
-		prompt: max(0, min(mostTokens, p.Tokens)),
+		prompt: within(p.Tokens, mostTokens),
 	}
 	rest := parts.prompt
 	digest := xxhash.New()
@@ -36,7 +41,7 @@
 	for _, part := range p.Parts {
 		_, _ = digest.WriteString("/" + part.ID)
 		parts.keys = append(parts.keys, digest.Sum64())
-		size := max(0, min(rest, part.Tokens))
+		size := within(part.Tokens, rest)
 		rest -= size
 		parts.tokens = append(parts.tokens, size)
 	}
--- a/core/placement/memory.go
+++ b/core/placement/memory.go
@@ -75,7 +75,7 @@
 
 // rank returns a priority within the bounds of the counters.
 func rank(priority int) int {
-	return max(0, min(priorities-1, priority))
+	return within(priority, priorities-1)
 }
 
 // residence is how long requests occupy memory, weighed by what they occupy.
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"slices"
 	"time"
 
 	"waxwingpick"
@@ -263,20 +264,10 @@
 	if e.target.Leaving {
 		return false
 	}
-	for _, id := range d.Exclude {
-		if id == e.target.ID {
-			return false
-		}
-	}
-	if d.Prompt.Model == "" || len(e.target.Models) == 0 {
-		return true
-	}
-	for _, m := range e.target.Models {
-		if m == d.Prompt.Model {
-			return true
-		}
+	if slices.Contains(d.Exclude, e.target.ID) {
+		return false
 	}
-	return false
+	return d.Prompt.Model == "" || len(e.target.Models) == 0 || slices.Contains(e.target.Models, d.Prompt.Model)
 }
 
 func (f *Fleet) option(now time.Time, e *engine, d Demand) option {
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -16,7 +16,6 @@
 
 func traits() routetable.Engines {
 	return routetable.Engines{
-		Slots:              32,
 		MemoryTokens:       400_000,
 		TokenBytes:         35_000,
 		LinkBytesPerSecond: 25e9,
--- a/core/placement/summary.go
+++ b/core/placement/summary.go
@@ -115,12 +115,12 @@
 		}
 		p := peerLoad{
 			work:    toldTime(l.WorkMillis),
-			running: max(0, min(mostTokens, l.Running)),
+			running: within(l.Running, mostRunning),
 			overdue: toldTime(l.OverdueMillis),
 			at:      now,
 		}
 		for rank, tokens := range l.Occupied[:min(len(l.Occupied), priorities)] {
-			p.occupied[rank] = max(0, min(mostTokens, tokens))
+			p.occupied[rank] = within(tokens, mostTokens)
 		}
 		e.peers[peer] = p
 	}
@@ -131,7 +131,7 @@
 		}
 		sizes := make([]int, len(r.Tokens))
 		for i, tokens := range r.Tokens {
-			sizes[i] = max(0, min(mostTokens, tokens))
+			sizes[i] = within(tokens, mostTokens)
 		}
 		e.cache.use(now, Parts{
 			keys:   r.Keys,
@@ -140,12 +140,16 @@
 	}
 }
 
-// mostTold bounds what another process may say that an engine is busy for: a few times what any request waits.
-const mostTold = time.Minute
+const (
+	// mostTold bounds what another process may say that an engine is busy for: a few times what any request waits.
+	mostTold = time.Minute
+	// mostRunning bounds the requests that another process may say it has at an engine: far more than engines have slots.
+	mostRunning = 1 << 20
+)
 
 // toldTime returns the time that another process told, within its bounds.
 func toldTime(millis int64) time.Duration {
-	return time.Duration(max(0, min(mostTold.Milliseconds(), millis))) * time.Millisecond
+	return time.Duration(within(millis, mostTold.Milliseconds())) * time.Millisecond
 }
 
 // leastTold is the smallest part, in tokens, that others are told of: smaller ones are read again in a few milliseconds.
--- a/core/routetable/table.go
+++ b/core/routetable/table.go
@@ -25,9 +25,8 @@
 	Shares     []Share
 	// Timeout is the longest time that a caller is kept waiting; zero for no bound.
 	Timeout time.Duration
-	// Aim is the time within which an answer is fully useful, PauseAim bounds the pauses between events.
-	Aim      time.Duration
-	PauseAim time.Duration
+	// Aim is the time within which an answer is fully useful.
+	Aim time.Duration
 	// Silence is how long a caller waits for the next event before it leaves; zero where it does not.
 	Silence time.Duration
 	// Priority ranks the route, 0 first.
@@ -64,7 +63,6 @@
 
 // Engines describes the model engines of a service.
 type Engines struct {
-	Slots int
 	// MemoryTokens is the KV cache of one engine, TokenBytes the size of one token of it.
 	MemoryTokens int
 	TokenBytes   int
@@ -75,8 +73,6 @@
 // Service describes one service.
 type Service struct {
 	Name waxwingpick.ServiceName
-	// MaxConnections bounds the connections to one target, of all callers together.
-	MaxConnections int
 	// Engines is absent for a plain service.
 	Engines waxwingpick.Option[Engines]
 }
--- a/internal/daemon/gateway_test.go
+++ b/internal/daemon/gateway_test.go
@@ -93,6 +93,14 @@
 	return s
 }
 
+// startSite returns a site whose gateway serves until the test's end.
+func startSite(t *testing.T) *site {
+	s := newSite(t)
+	s.start()
+	t.Cleanup(s.stop)
+	return s
+}
+
 func (s *site) add(id, stage, service string) *target.Target {
 	one, err := target.New(id, stage)
 	require.NoError(s.t, err)
@@ -107,6 +115,13 @@
 	require.Eventually(s.t, s.ready, time.Minute, 5*time.Millisecond)
 }
 
+// setFaults gives several targets the same faults.
+func setFaults(f target.Faults, targets ...*target.Target) {
+	for _, one := range targets {
+		one.SetFaults(f)
+	}
+}
+
 // launch runs the gateway with the time that it has to stop.
 func (s *site) launch(grace time.Duration) {
 	s.boot = bootOf(s.t, "gateway", s.store.Addr(), grace)
@@ -206,9 +221,7 @@
 
 func TestGatewayServesTheWholePath(t *testing.T) {
 	t.Parallel()
-	s := newSite(t)
-	s.start()
-	defer s.stop()
+	s := startSite(t)
 
 	status, body, whole := s.read(s.ask("id1", "/quick/a?b=%2F", "prompt"))
 	require.Equal(t, http.StatusOK, status)
@@ -237,9 +250,7 @@
 
 func TestCallersCannotSetWhatTheSystemSets(t *testing.T) {
 	t.Parallel()
-	s := newSite(t)
-	s.start()
-	defer s.stop()
+	s := startSite(t)
 	forged := []string{
 		"Waxwingpick-Serving-Stage", "prefill",
 		"Waxwingpick-Kv-Source", "1.2.3.4:5/forged",
@@ -273,9 +284,7 @@
 // TestEnginesCopyFromEachOther asks for one prompt until the engine that runs it is told where else its KV cache is kept.
 func TestEnginesCopyFromEachOther(t *testing.T) {
 	t.Parallel()
-	s := newSite(t)
-	s.start()
-	defer s.stop()
+	s := startSite(t)
 	asked := 0
 	require.Eventually(t, func() bool {
 		asked++
@@ -291,14 +300,10 @@
 
 func TestStreamGoesOnAtAnotherEngine(t *testing.T) {
 	t.Parallel()
-	s := newSite(t)
-	s.start()
-	defer s.stop()
-	for _, e := range s.engines[:2] {
-		e.SetFaults(target.Faults{
-			BreakAfter: 3,
-		})
-	}
+	s := startSite(t)
+	setFaults(target.Faults{
+		BreakAfter: 3,
+	}, s.engines[:2]...)
 	status, body, whole := s.read(s.ask("id", "/quick/a", ""))
 	require.Equal(t, http.StatusOK, status)
 	require.True(t, whole)
@@ -310,14 +315,10 @@
 
 func TestBrokenStreamDoesNotLookComplete(t *testing.T) {
 	t.Parallel()
-	s := newSite(t)
-	s.start()
-	defer s.stop()
-	for _, e := range s.engines[:2] {
-		e.SetFaults(target.Faults{
-			BreakAfter: 3,
-		})
-	}
+	s := startSite(t)
+	setFaults(target.Faults{
+		BreakAfter: 3,
+	}, s.engines[:2]...)
 	status, body, whole := s.read(s.ask("id", "/long/a", ""))
 	require.Equal(t, http.StatusOK, status)
 	require.False(t, whole)
@@ -329,15 +330,11 @@
 
 func TestOrderRunsOnceAndItsRefusalIsTrue(t *testing.T) {
 	t.Parallel()
-	s := newSite(t)
-	s.start()
-	defer s.stop()
+	s := startSite(t)
 	// Not run by any: the caller hears so, and when to come back.
-	for _, one := range s.services {
-		one.SetFaults(target.Faults{
-			Full: true,
-		})
-	}
+	setFaults(target.Faults{
+		Full: true,
+	}, s.services...)
 	resp, err := s.ask("id1", "/order/1", "book")
 	require.NoError(t, err)
 	require.NotEmpty(t, resp.Header.Get("Retry-After"))
@@ -356,9 +353,7 @@
 
 func TestFailureOfOneTargetIsRepeatedWhereThatIsAllowed(t *testing.T) {
 	t.Parallel()
-	s := newSite(t)
-	s.start()
-	defer s.stop()
+	s := startSite(t)
 	s.services[0].SetFaults(target.Faults{
 		Status: http.StatusInternalServerError,
 	})
@@ -368,11 +363,9 @@
 		require.Contains(t, body, "answer of app1")
 	}
 	// A target's own failure is an answer, which the caller of an order gets as it is.
-	for _, one := range s.services {
-		one.SetFaults(target.Faults{
-			Status: http.StatusInternalServerError,
-		})
-	}
+	setFaults(target.Faults{
+		Status: http.StatusInternalServerError,
+	}, s.services...)
 	resp, err := s.ask("order", "/order/1", "")
 	require.NoError(t, err)
 	require.NotEmpty(t, resp.Header.Get("Waxwingpick-Server-Stamp"))
@@ -383,9 +376,7 @@
 
 func TestLeavingTargetGetsNoNewWork(t *testing.T) {
 	t.Parallel()
-	s := newSite(t)
-	s.start()
-	defer s.stop()
+	s := startSite(t)
 	require.NoError(t, s.store.Put(t.Context(), "servers/app0", s.services[0].Entry("app", "zone", "draining")))
 	require.Eventually(t, func() bool {
 		before := len(s.services[0].Runs())
@@ -403,9 +394,7 @@
 
 func TestConfigurationChangesComeIntoForceAndStay(t *testing.T) {
 	t.Parallel()
-	s := newSite(t)
-	s.start()
-	defer s.stop()
+	s := startSite(t)
 	next := routes(5)
 	next["routes"] = next["routes"].([]any)[:3]
 	require.NoError(t, s.store.Put(t.Context(), "op/config", next))
@@ -430,9 +419,7 @@
 
 func TestServingGoesOnWhileTheStoreIsAway(t *testing.T) {
 	t.Parallel()
-	s := newSite(t)
-	s.start()
-	defer s.stop()
+	s := startSite(t)
 	s.store.Store().SetDown(true)
 	require.True(t, s.ready())
 	status, _, _ := s.read(s.ask("id", "/read/1", ""))
@@ -462,14 +449,10 @@
 
 func TestCallerThatLeavesFreesItsTarget(t *testing.T) {
 	t.Parallel()
-	s := newSite(t)
-	s.start()
-	defer s.stop()
-	for _, one := range s.services {
-		one.SetFaults(target.Faults{
-			Silence: time.Hour,
-		})
-	}
+	s := startSite(t)
+	setFaults(target.Faults{
+		Silence: time.Hour,
+	}, s.services...)
 	ctx, leave := context.WithCancel(t.Context())
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.boot.Callers+"/read/1", nil)
 	require.NoError(t, err)
@@ -495,11 +478,9 @@
 	// The requests' time is short beside this, also on a busy machine.
 	s.launch(8 * time.Second)
 	require.Eventually(t, s.ready, time.Minute, 5*time.Millisecond)
-	for _, one := range s.services {
-		one.SetFaults(target.Faults{
-			Silence: 300 * time.Millisecond,
-		})
-	}
+	setFaults(target.Faults{
+		Silence: 300 * time.Millisecond,
+	}, s.services...)
 	answers := make(chan error, 4)
 	for i := range cap(answers) {
 		go func() {
@@ -525,9 +506,7 @@
 
 func TestEngineThatDoesNotReadIsPassedOver(t *testing.T) {
 	t.Parallel()
-	s := newSite(t)
-	s.start()
-	defer s.stop()
+	s := startSite(t)
 	reader := s.engines[2]
 	reader.SetFaults(target.Faults{
 		Full: true,
@@ -564,9 +543,7 @@
 // TestGatewaysFindEachOther starts a second gateway and reads from the metrics of both that they tell each other load.
 func TestGatewaysFindEachOther(t *testing.T) {
 	t.Parallel()
-	s := newSite(t)
-	s.start()
-	defer s.stop()
+	s := startSite(t)
 	other := launch(t, bootOf(t, "other", s.store.Addr(), time.Second))
 	defer func() {
 		require.NoError(t, other.Stop(context.Background()))
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -21,7 +21,7 @@
 	TargetsPrefix string
 	// Routes decodes a configuration; ok is false for a key that holds none.
 	Routes func(e waxwingpick.Entry) (t *routetable.Table, ok bool, err error)
-	// Target decodes a target that was read at the given time; it fails for an entry that names none to use.
+	// Target decodes a target; it fails for an entry that names none to use.
 	Target func(e waxwingpick.Entry) (waxwingpick.Target, error)
 	// TargetID returns the target that a key is about.
 	TargetID func(key string) waxwingpick.TargetID
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -21,10 +21,8 @@
 	"waxwingpick/core/trail"
 )
 
-const (
-	// expiryPeriod is the time between two looks for targets whose entries did not come back.
-	expiryPeriod = 100 * time.Millisecond
-)
+// expiryPeriod is the time between two looks for targets whose entries did not come back.
+const expiryPeriod = 100 * time.Millisecond
 
 var errNotReady = eris.New("not ready")
 
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -46,7 +46,10 @@
 	defer s.mu.Unlock()
 	traits, engines := known.Engines.Get()
 	s.engines = engines
-	s.fleet.SetTargets(targets, traits)
+	if engines {
+		s.fleet.SetTargets(targets, traits)
+		return
+	}
 	s.pool.SetTargets(targets)
 }
 
@@ -113,11 +116,14 @@
 	return c, true
 }
 
-// summary returns what other processes are to know of this one's requests.
-func (s *service) summary(now time.Time) (placement.Summary, bool) {
+// summary returns what other processes are to know of this one's requests; a plain service has nothing to tell.
+func (s *service) summary(now time.Time) (summary placement.Summary, engines bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.fleet.Summary(now), s.engines
+	if !s.engines {
+		return summary, false
+	}
+	return s.fleet.Summary(now), true
 }
 
 // observe takes what another process told of its requests.
--- a/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -124,6 +124,14 @@
 	}
 }
 
+// requireOwn sends a request and checks that it gets its own answer.
+func requireOwn(t *testing.T, c *http1.Client) {
+	t.Helper()
+	got, err := send(t, c, http.MethodPost)
+	require.NoError(t, err)
+	require.Equal(t, "mine", got)
+}
+
 func TestBytesThatNoRequestAskedForReachNobody(t *testing.T) {
 	// The first answer is followed by a second one, as of a confused peer.
 	twice := func(w io.Writer, n int64, _ *http.Request) bool {
@@ -154,9 +162,7 @@
 	c := http1.New(p.addr, 100)
 	defer c.Close()
 	for range 3 {
-		got, err := send(t, c, http.MethodPost)
-		require.NoError(t, err)
-		require.Equal(t, "mine", got)
+		requireOwn(t, c)
 	}
 }
 
@@ -171,9 +177,7 @@
 		c := http1.New(p.addr, 100)
 		defer c.Close()
 		for range 3 {
-			got, err := send(t, c, http.MethodPost)
-			require.NoError(t, err)
-			require.Equal(t, "mine", got)
+			requireOwn(t, c)
 		}
 	}
 }
@@ -203,9 +207,7 @@
 	c := http1.New(p.addr, 100)
 	defer c.Close()
 	for range calls {
-		got, err := send(t, c, http.MethodPost)
-		require.NoError(t, err)
-		require.Equal(t, "mine", got)
+		requireOwn(t, c)
 		<-closed
 	}
 	require.EqualValues(t, calls, p.requests.Load())
@@ -295,9 +297,7 @@
 		require.NoError(t, err)
 		require.Equal(t, "part", string(part))
 		a.Close()
-		got, err := send(t, c, http.MethodPost)
-		require.NoError(t, err)
-		require.Equal(t, "mine", got)
+		requireOwn(t, c)
 	}
 	// Each half-read body took its connection along; the other connection stays in use.
 	require.EqualValues(t, 4, p.conns.Load())
