loopback: free addresses lie below the ports that the kernel picks

Cause: TestCallersCannotSetWhatTheSystemSets failed once beside load, "listen for metrics: address already in use". Free gave a port of the kernel's own range and released it; until its server listened there, any server of the process that takes any port, as stand-ins do, could be given it.

--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -5,17 +5,22 @@
 	"net"
 	"os"
 	"runtime"
+	"strconv"
 	"sync"
 
 	"github.com/rotisserie/eris"
 )
 
-// freeTries bounds the search for an address that was not given before; the kernel picks from some 28,000 ports.
-const freeTries = 1000
+// Free addresses have ports below those that kernels pick by themselves, 32,768 and up on Linux, so that no server which
+// takes any port gets one of them before its own listens there.
+const (
+	firstFree = 10_000
+	lastFree  = 32_000
+)
 
 var (
-	mu    sync.Mutex
-	given = make(map[string]bool)
+	mu   sync.Mutex
+	next = firstFree
 )
 
 // Host returns the loopback IP address of this process. On Linux every process has one of its own in 127.64.0.0/10, so
@@ -37,19 +42,18 @@
 func Free() (string, error) {
 	mu.Lock()
 	defer mu.Unlock()
-	for range freeTries {
-		ln, err := net.Listen("tcp", AnyPort())
+	for next < lastFree {
+		addr := net.JoinHostPort(Host(), strconv.Itoa(next))
+		next++
+		ln, err := net.Listen("tcp", addr)
 		if err != nil {
-			return "", fmt.Errorf("find a free port: %w", err)
+			// Another process may listen there where not every process has an address of its own.
+			continue
 		}
-		addr := ln.Addr().String()
 		if err := ln.Close(); err != nil {
 			return "", fmt.Errorf("release %s: %w", addr, err)
 		}
-		if !given[addr] {
-			given[addr] = true
-			return addr, nil
-		}
+		return addr, nil
 	}
 	return "", eris.Errorf("no port of %s is free", Host())
 }
--- a/internal/loopback/loopback_test.go
+++ b/internal/loopback/loopback_test.go
@@ -31,3 +31,20 @@
 	require.NoError(t, err)
 	require.NoError(t, c.Close())
 }
+
+// TestFreeAddressIsNoServersThatTakesAnyPort takes addresses, and then lets servers listen wherever the kernel has a port.
+func TestFreeAddressIsNoServersThatTakesAnyPort(t *testing.T) {
+	const addresses = 500
+	free := make(map[string]bool)
+	for range addresses {
+		addr, err := loopback.Free()
+		require.NoError(t, err)
+		free[addr] = true
+	}
+	for range addresses {
+		ln, err := net.Listen("tcp", loopback.AnyPort())
+		require.NoError(t, err)
+		defer ln.Close()
+		require.False(t, free[ln.Addr().String()], ln.Addr())
+	}
+}
