gateway: requests that crash targets are refused after the second crash

Ruled out: waiting for the next request to find the target gone, since targets that lose answers are chosen last, so that the request itself finds the next one. Change: core/suspect finds crashes from lost answers and refused connections; a gateway that loses an answer connects once more (at most four times a second to a target, and the connection is kept), and tells the others at once. Before: TestRequestThatCrashesTargetsCostsTwoOfThem failed. After: two of six targets crash, and the other gateway refuses the request too.

--- a/core/suspect/fingerprint.go
+++ b/core/suspect/fingerprint.go
@@ -47,8 +47,17 @@
 
 // Of returns the fingerprint of a request; a JSON body counts without its layout, member order and stream options.
 func Of(workspace waxwingpick.WorkspaceID, path string, body []byte) Fingerprint {
+	return sum([]byte(workspace), []byte(path), normalise(body))
+}
+
+// OfOpaque returns the fingerprint of a request whose body means nothing to this process.
+func OfOpaque(method, host, uri string, body []byte) Fingerprint {
+	return sum([]byte(method), []byte(host), []byte(uri), body)
+}
+
+func sum(parts ...[]byte) Fingerprint {
 	h := xxhash.New()
-	for _, part := range [][]byte{[]byte(workspace), []byte(path), normalise(body)} {
+	for _, part := range parts {
 		_, _ = h.WriteString(strconv.Itoa(len(part)) + ":")
 		_, _ = h.Write(part)
 	}
--- /dev/null
+++ b/core/suspect/losses_test.go
@@ -0,0 +1,136 @@
+package suspect_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"waxwingpick"
+	"waxwingpick/core/suspect"
+)
+
+func TestLosses(t *testing.T) {
+	one := waxwingpick.Target{
+		ID:   "one",
+		Born: 1,
+	}
+	again := one
+	again.Born = 2
+	two := one
+	two.ID = "two"
+	// event is what the process sees of a target after a time.
+	type event func(l *suspect.Losses, start time.Time) waxwingpick.Option[suspect.Sighting]
+	lost := func(target waxwingpick.Target, f suspect.Fingerprint, after time.Duration) event {
+		return func(l *suspect.Losses, start time.Time) waxwingpick.Option[suspect.Sighting] {
+			return l.Lost(start.Add(after), target, f)
+		}
+	}
+	gone := func(target waxwingpick.Target, after time.Duration) event {
+		return func(l *suspect.Losses, start time.Time) waxwingpick.Option[suspect.Sighting] {
+			return l.Gone(start.Add(after), target)
+		}
+	}
+	tests := map[string]struct {
+		events []event
+		crash  string
+		want   []suspect.Fingerprint
+	}{
+		"answers of a target that is there": {
+			events: []event{lost(one, 1, 0), lost(one, 2, 0)},
+		},
+		"answers lost before the crash was seen": {
+			events: []event{lost(one, 1, 0), lost(one, 2, 0), gone(one, time.Second)},
+			crash:  "one/1",
+			want:   []suspect.Fingerprint{1, 2},
+		},
+		"answer lost behind the sight of the crash": {
+			events: []event{gone(one, 0), lost(one, 3, time.Second)},
+			crash:  "one/1",
+			want:   []suspect.Fingerprint{3},
+		},
+		"long before the crash": {
+			events: []event{lost(one, 1, 0), gone(one, 3*time.Second)},
+		},
+		"long behind the crash": {
+			events: []event{gone(one, 0), lost(one, 1, 3*time.Second)},
+		},
+		"crash of the run before": {
+			events: []event{lost(one, 1, 0), gone(again, 0)},
+		},
+		"crash that was told already": {
+			events: []event{gone(one, 0), gone(one, time.Second)},
+		},
+		"crash of another target": {
+			events: []event{lost(one, 1, 0), gone(two, 0)},
+		},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			start := time.Unix(1000, 0)
+			losses := suspect.NewLosses()
+			var last waxwingpick.Option[suspect.Sighting]
+			for _, e := range test.events {
+				last = e(losses, start)
+			}
+			got, _ := last.Get()
+			require.Equal(t, test.crash, got.Crash.ID)
+			require.Equal(t, test.want, got.InFlight)
+		})
+	}
+}
+
+// TestLossesConvictOnlyWhatWasInFlight draws answers that break off and crashes of targets: what is refused was in flight at
+// two crashes, and a request that crashes each target which runs it is refused after the second one.
+func TestLossesConvictOnlyWhatWasInFlight(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const culprit = suspect.Fingerprint(1)
+		now := time.Unix(1000, 0)
+		losses := suspect.NewLosses()
+		set, err := suspect.NewSet()
+		require.NoError(t, err)
+		saw := func(s waxwingpick.Option[suspect.Sighting]) {
+			if one, ok := s.Get(); ok {
+				set.Crashed(now, one.Crash, one.InFlight)
+			}
+		}
+		crashed := make(map[suspect.Fingerprint]int)
+		born := int64(0)
+		for range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "pause")) * time.Millisecond)
+			born++
+			target := waxwingpick.Target{
+				ID:   waxwingpick.TargetID(fmt.Sprint(rapid.IntRange(0, 3).Draw(t, "target"))),
+				Born: born,
+			}
+			crash := rapid.Bool().Draw(t, "crash")
+			inFlight := make(map[suspect.Fingerprint]bool)
+			for range rapid.IntRange(0, 4).Draw(t, "in flight") {
+				inFlight[suspect.Fingerprint(rapid.IntRange(2, 40).Draw(t, "request"))] = true
+			}
+			if crash && set.Status(now, culprit) != suspect.StatusRefused {
+				inFlight[culprit] = true
+			}
+			seenFirst := crash && rapid.Bool().Draw(t, "crash seen first")
+			if seenFirst {
+				saw(losses.Gone(now, target))
+			}
+			for f := range inFlight {
+				saw(losses.Lost(now, target, f))
+				if crash {
+					crashed[f]++
+				}
+			}
+			if crash && !seenFirst {
+				saw(losses.Gone(now, target))
+			}
+			for f, times := range crashed {
+				refused := set.Status(now, f) == suspect.StatusRefused
+				require.Equal(t, times >= 2, refused, "%s was in flight at %d crashes", f, times)
+			}
+		}
+		require.LessOrEqual(t, crashed[culprit], 2)
+	})
+}
--- a/internal/daemon/gateway_test.go
+++ b/internal/daemon/gateway_test.go
@@ -540,6 +540,67 @@
 	require.Less(t, s.engines[1].Misdirected(), asked/2)
 }
 
+// TestRequestThatCrashesTargetsCostsTwoOfThem has a request sent again and again that crashes each target which runs it, at
+// two gateways in turn, beside requests that do no harm.
+func TestRequestThatCrashesTargetsCostsTwoOfThem(t *testing.T) {
+	t.Parallel()
+	s := newSite(t)
+	for i := range 4 {
+		s.services = append(s.services, s.add(fmt.Sprint("more", i), "", "app"))
+	}
+	setFaults(target.Faults{
+		CrashOn: "poison",
+	}, s.services...)
+	s.start()
+	defer s.stop()
+	first := s.boot
+	other := launch(t, bootOf(t, "other", s.store.Addr(), time.Second))
+	defer func() {
+		require.NoError(t, other.Stop(context.Background()))
+	}()
+	for _, boot := range []platform.Boot{first, other.boot} {
+		s.awaitPeers(boot, 1)
+	}
+	// Crashed targets lose what else they run, which is no reason to refuse it.
+	status, _, _ := s.read(s.ask("poison0", "/read/poison", "poison"))
+	require.Equal(t, http.StatusBadGateway, status)
+	require.Eventually(t, func() bool {
+		for i, boot := range []platform.Boot{other.boot, first} {
+			s.boot = boot
+			resp, err := s.ask(fmt.Sprint("poison", 1+i), "/read/poison", "poison")
+			if status, _, _ := s.read(resp, err); status != http.StatusServiceUnavailable {
+				return false
+			}
+			require.NotEmpty(t, resp.Header.Get("Retry-After"))
+		}
+		return true
+	}, time.Minute, 10*time.Millisecond)
+	for i, boot := range []platform.Boot{first, other.boot} {
+		s.boot = boot
+		status, _, _ = s.read(s.ask(fmt.Sprint("sound", i), "/read/sound", "sound"))
+		require.Equal(t, http.StatusOK, status)
+	}
+	crashed := 0
+	for _, r := range s.runs() {
+		if r.Body == "poison" {
+			crashed++
+		}
+	}
+	require.Equal(t, 2, crashed)
+}
+
+// awaitPeers waits until a gateway tells its load to so many others.
+func (s *site) awaitPeers(boot platform.Boot, n int) {
+	require.Eventually(s.t, func() bool {
+		resp, err := s.http.Get("http://" + boot.Metrics + "/metrics")
+		if err != nil {
+			return false
+		}
+		status, body, whole := s.read(resp, nil)
+		return status == http.StatusOK && whole && strings.Contains(body, fmt.Sprintf("waxwingpick_gateway_peers %d\n", n))
+	}, time.Minute, 10*time.Millisecond)
+}
+
 // TestGatewaysFindEachOther starts a second gateway and reads from the metrics of both that they tell each other load.
 func TestGatewaysFindEachOther(t *testing.T) {
 	t.Parallel()
@@ -549,13 +610,6 @@
 		require.NoError(t, other.Stop(context.Background()))
 	}()
 	for _, boot := range []platform.Boot{s.boot, other.boot} {
-		require.Eventually(t, func() bool {
-			resp, err := s.http.Get("http://" + boot.Metrics + "/metrics")
-			if err != nil {
-				return false
-			}
-			status, body, whole := s.read(resp, nil)
-			return status == http.StatusOK && whole && strings.Contains(body, "waxwingpick_gateway_peers 1\n")
-		}, time.Minute, 10*time.Millisecond)
+		s.awaitPeers(boot, 1)
 	}
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -66,6 +66,10 @@
 	if err := x.ctx.Err(); err != nil {
 		return pick{}, waxwingpick.NotRun(waxwingpick.ReasonDeadline, 0, err.Error())
 	}
+	if x.process.crashes.refuses(now, x.fingerprint()) {
+		x.convicted(now)
+		return pick{}, waxwingpick.NotRun(waxwingpick.ReasonCrashSuspect, suspicionKept, "request was in flight at repeated crashes of targets")
+	}
 	if !x.service.servesModels() {
 		chosen, ok := x.service.chooseTarget(now, x.tried)
 		if !ok {
@@ -294,6 +298,18 @@
 		x.service.failed(now, chosen, s.absent())
 	}
 	x.service.ended(now, chosen, s.refusal != nil, s.reply.Running)
+	x.noteCrash(chosen, s)
+}
+
+// noteCrash has the process find out whether an attempt failed because its target crashed.
+func (x *exchange) noteCrash(chosen pick, s sent) {
+	switch {
+	case !s.silent():
+	case s.unsent():
+		x.process.crashes.gone(chosen.last())
+	default:
+		x.process.crashes.lost(chosen.last(), x.fingerprint())
+	}
 }
 
 // deliver hands a target's answer to the caller.
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -38,6 +38,7 @@
 	_        struct{} `cbor:",toarray"`
 	From     waxwingpick.InstanceID
 	Services map[waxwingpick.ServiceName]placement.Summary
+	Crashes  []crashReport
 }
 
 // gossip exchanges summaries of load among gateways. It only improves choices: without it each gateway knows its own
@@ -66,6 +67,7 @@
 // start exchanges summaries until the process ends.
 func (g *gossip) start() {
 	p := g.process
+	p.crashes.push = g.send
 	p.loops.Go(func() {
 		g.link.Receive(g.take)
 	})
@@ -142,18 +144,26 @@
 // tell sends the own summary to the others, less often where they are many.
 func (g *gossip) tell(now time.Time) {
 	g.mu.Lock()
-	peers := g.peers
-	due := now.Sub(g.told) >= time.Duration(len(peers))*time.Second/tellRate
+	due := now.Sub(g.told) >= time.Duration(len(g.peers))*time.Second/tellRate
+	g.mu.Unlock()
 	if due {
-		g.told = now
+		g.send(now)
 	}
+}
+
+// send sends the own summary to the others now.
+func (g *gossip) send(now time.Time) {
+	g.mu.Lock()
+	peers := g.peers
+	g.told = now
 	g.mu.Unlock()
-	if !due || len(peers) == 0 {
+	if len(peers) == 0 {
 		return
 	}
 	m := message{
 		From:     g.process.options.Instance,
 		Services: make(map[waxwingpick.ServiceName]placement.Summary),
+		Crashes:  g.process.crashes.reports(now),
 	}
 	for _, s := range g.process.allServices() {
 		if summary, engines := s.summary(now); engines {
@@ -179,6 +189,7 @@
 		return
 	}
 	now := g.process.timers.Now()
+	g.process.crashes.take(now, m.Crashes)
 	for name, summary := range m.Services {
 		if s := g.process.service(name); s != nil {
 			s.observe(now, m.From, summary)
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -35,6 +35,7 @@
 	log     *logrus.Entry
 	trails  *trail.Log
 	gate    *drain.Gate
+	crashes *crashes
 
 	table atomic.Pointer[routetable.Table]
 
@@ -70,6 +71,9 @@
 	if p.gate, err = drain.New(drain.WithLameDuck(o.LameDuck), drain.WithEnd(o.End)); err != nil {
 		return nil, fmt.Errorf("create drain gate: %w", err)
 	}
+	if p.crashes, err = newCrashes(p); err != nil {
+		return nil, err
+	}
 	p.lifecycle, p.end = context.WithCancel(context.Background())
 	return p, nil
 }
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -14,6 +14,7 @@
 	"waxwingpick/core/placement"
 	"waxwingpick/core/retry"
 	"waxwingpick/core/routetable"
+	"waxwingpick/core/suspect"
 	"waxwingpick/core/timer"
 	"waxwingpick/core/trail"
 )
@@ -53,6 +54,17 @@
 	mayHaveRun bool
 	// left says that the caller stopped taking a stream.
 	left bool
+	// print is the request's fingerprint, once it was asked for.
+	print waxwingpick.Option[suspect.Fingerprint]
+}
+
+// fingerprint identifies the request among those that crashed targets.
+func (x *exchange) fingerprint() suspect.Fingerprint {
+	if _, ok := x.print.Get(); !ok {
+		x.print = waxwingpick.Some(suspect.OfOpaque(x.in.Method, x.in.Host, x.in.URI, x.in.Body))
+	}
+	f, _ := x.print.Get()
+	return f
 }
 
 // gateIDs numbers the requests of the process, since callers may send one ID twice.
@@ -181,6 +193,9 @@
 
 // finish ends the request's bookkeeping; refusal is nil where the caller got a target's answer.
 func (x *exchange) finish(refusal *waxwingpick.Refusal) {
+	if refusal == nil {
+		x.process.crashes.absolve(x.process.timers.Now(), x.fingerprint())
+	}
 	x.concluded(refusal)
 	x.cancel()
 	x.process.gate.Leave(x.gateID)
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -166,6 +166,14 @@
 	return p.runLeg
 }
 
+// last returns the target to which an attempt was last sent.
+func (p pick) last() waxwingpick.Target {
+	if p.runLeg == nil && p.prefillLeg != nil {
+		return p.prefill.OrElse(p.run)
+	}
+	return p.run
+}
+
 // prefilled notes that the reading engine is done with the prompt.
 func (s *service) prefilled(now time.Time, c pick) {
 	s.tell(c.prefill.OrElse(c.run), s.locked(func() ejection.Change {
@@ -189,9 +197,9 @@
 
 // failed notes that the target to which an attempt was last sent is not there, or gave no answer.
 func (s *service) failed(now time.Time, c pick, absent bool) {
-	leg, target := c.runLeg, c.run
-	if leg == nil && c.prefillLeg != nil {
-		leg, target = c.prefillLeg, c.prefill.OrElse(c.run)
+	leg, target := c.runLeg, c.last()
+	if leg == nil {
+		leg = c.prefillLeg
 	}
 	s.tell(target, s.locked(func() ejection.Change {
 		switch {
--- a/internal/gateway/trails.go
+++ b/internal/gateway/trails.go
@@ -47,6 +47,11 @@
 	x.trail.Note(waxwingpick.ActionChoose.Of(now, verdict.String(), inputs...))
 }
 
+// convicted notes that the request is refused since it crashed targets.
+func (x *exchange) convicted(now time.Time) {
+	x.trail.Note(waxwingpick.ActionChoose.Of(now, "crashSuspect", waxwingpick.In("fingerprint", x.fingerprint().String())))
+}
+
 // prefillFailed notes that an engine did not read the prompt.
 func (x *exchange) prefillFailed(reader waxwingpick.Target, s sent) {
 	x.trail.Note(waxwingpick.ActionAttempt.Of(x.process.timers.Now(), "prefillFailed", waxwingpick.In("target", reader.ID),
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -83,6 +83,17 @@
 	c.pool.close()
 }
 
+// Connect makes a connection, and keeps it for a later request; it fails with ErrEngineUnreachable.
+func (c *Client) Connect(ctx context.Context) error {
+	cn, err := c.pool.dial(ctx)
+	if err != nil {
+		return fmt.Errorf("%w at %s: %w", waxwingpick.ErrEngineUnreachable, c.pool.addr, err)
+	}
+	cn.idleFor = c.pool.idleFor
+	c.pool.put(cn, time.Now())
+	return nil
+}
+
 // Request is one request to be sent once.
 type Request struct {
 	Method string
--- a/internal/http1/client_test.go
+++ b/internal/http1/client_test.go
@@ -17,6 +17,7 @@
 
 	"waxwingpick"
 	"waxwingpick/internal/http1"
+	"waxwingpick/internal/loopback"
 )
 
 const (
@@ -302,3 +303,22 @@
 	// Each half-read body took its connection along; the other connection stays in use.
 	require.EqualValues(t, 4, p.conns.Load())
 }
+
+// TestConnectKeepsItsConnection has a client make sure that a peer is there, and send on the same connection.
+func TestConnectKeepsItsConnection(t *testing.T) {
+	p := listen(t, func(w io.Writer, _ int64, _ *http.Request) bool {
+		_, err := io.WriteString(w, answer+"mine")
+		return err == nil
+	})
+	c := http1.New(p.addr, 100)
+	defer c.Close()
+	require.NoError(t, c.Connect(t.Context()))
+	requireOwn(t, c)
+	require.EqualValues(t, 1, p.conns.Load())
+
+	free, err := loopback.Free()
+	require.NoError(t, err)
+	gone := http1.New(free, 100)
+	defer gone.Close()
+	require.ErrorIs(t, gone.Connect(t.Context()), waxwingpick.ErrEngineUnreachable)
+}
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -50,6 +50,8 @@
 	BreakAfter int
 	// Silence is the time before an answer.
 	Silence time.Duration
+	// CrashOn is the body of requests that crash the target once it runs them; it stays down.
+	CrashOn string
 }
 
 // Events is the number of events of each stream.
@@ -167,6 +169,10 @@
 		return c.SendStatus(http.StatusServiceUnavailable)
 	}
 	t.note(c)
+	if faults.CrashOn != "" && string(c.Body()) == faults.CrashOn {
+		t.Crash()
+		return c.SendStatus(http.StatusServiceUnavailable)
+	}
 	c.Set("Waxwingpick-Server-Stamp", "stamp-of-"+t.id)
 	c.Set("Waxwingpick-Instance-Load", "1,0,"+strconv.Itoa(t.slots))
 	if faults.Status != 0 {
--- a/target.go
+++ b/target.go
@@ -93,4 +93,6 @@
 	Prefill(ctx context.Context, d Dispatch) (Prefilled, error)
 	// Release frees KV cache that nobody will fetch.
 	Release(ctx context.Context, source KVSource) error
+	// Reach connects to a target; it fails with ErrEngineUnreachable where that takes no connection.
+	Reach(ctx context.Context, t Target) error
 }
