balance: calls that would be late are refused at once, and what waits at targets counts

Cause: nothing limited what waits at a plain service but its targets' own queues, which make all calls late once they stand; and gateways heard from targets only what runs, which is the same for short and long queues. Change: waiting calls are told load; a call without a free slot is refused when it would be answered after four fifths of its aim.

--- a/core/balance/pool_test.go
+++ b/core/balance/pool_test.go
@@ -25,20 +25,29 @@
 	return all
 }
 
+// choose picks a target that was not tried before.
+func choose(t *testing.T, p *balance.Pool, now time.Time, tried ...waxwingpick.TargetID) waxwingpick.TargetID {
+	t.Helper()
+	chosen, verdict := p.Choose(now, balance.Demand{
+		Exclude: tried,
+	})
+	require.Equal(t, waxwingpick.VerdictPlaced, verdict)
+	return chosen.Target.ID
+}
+
 func TestChooseTakesTheLeastLoaded(t *testing.T) {
 	p := balance.New("here")
 	p.SetTargets(targets(3, 2))
 	seen := waxwingpick.NewSet[waxwingpick.TargetID]()
+	calls := make(map[waxwingpick.TargetID]*balance.Call)
 	for range 3 {
-		chosen, ok := p.Choose(start, nil)
-		require.True(t, ok)
-		p.Begin(start, chosen.ID)
-		seen.Add(chosen.ID)
+		chosen := choose(t, p, start)
+		calls[chosen] = p.Begin(start, chosen)
+		seen.Add(chosen)
 	}
 	require.Equal(t, 3, seen.Len())
-	p.End(start, "b", false, waxwingpick.None[int]())
-	chosen, _ := p.Choose(start, nil)
-	require.EqualValues(t, "b", chosen.ID)
+	calls["b"].End(start, false, waxwingpick.None[int]())
+	require.EqualValues(t, "b", choose(t, p, start))
 }
 
 func TestChooseLeavesOutLeavingAndTried(t *testing.T) {
@@ -47,27 +56,24 @@
 	all[0].Leaving = true
 	p.SetTargets(all)
 	for range 10 {
-		chosen, ok := p.Choose(start, []waxwingpick.TargetID{"b"})
-		require.True(t, ok)
-		require.EqualValues(t, "c", chosen.ID)
+		require.EqualValues(t, "c", choose(t, p, start, "b"))
 	}
-	_, ok := p.Choose(start, []waxwingpick.TargetID{"b", "c"})
-	require.False(t, ok)
+	_, verdict := p.Choose(start, balance.Demand{
+		Exclude: []waxwingpick.TargetID{"b", "c"},
+	})
+	require.Equal(t, waxwingpick.VerdictNone, verdict)
 }
 
 func TestToldLoadOfOthersCountsForASecond(t *testing.T) {
 	p := balance.New("here")
 	p.SetTargets(targets(2, 4))
-	p.Begin(start, "a")
-	p.End(start, "a", false, waxwingpick.Some(3))
+	p.Begin(start, "a").End(start, false, waxwingpick.Some(3))
 	for range 4 {
-		chosen, _ := p.Choose(start, nil)
-		require.EqualValues(t, "b", chosen.ID)
+		require.EqualValues(t, "b", choose(t, p, start))
 	}
 	seen := waxwingpick.NewSet[waxwingpick.TargetID]()
 	for range 4 {
-		chosen, _ := p.Choose(start.Add(2*time.Second), nil)
-		seen.Add(chosen.ID)
+		seen.Add(choose(t, p, start.Add(2*time.Second)))
 	}
 	require.Equal(t, 2, seen.Len())
 }
@@ -81,21 +87,21 @@
 		p.SetTargets(targets(3, 6))
 		r := rand.New(rand.NewPCG(1, 1))
 		failed := 0
-		var running []waxwingpick.TargetID
+		var running []*balance.Call
 		for i := range calls {
 			now := start.Add(time.Duration(i) * 3 * time.Millisecond)
 			id := choose(p)
-			p.Begin(now, id)
+			call := p.Begin(now, id)
 			if id == "a" {
 				// A target that fails does so at once, and so looks idle to a rule that sees load alone.
 				failed++
-				p.End(now, id, true, waxwingpick.None[int]())
+				call.End(now, true, waxwingpick.None[int]())
 				continue
 			}
-			running = append(running, id)
+			running = append(running, call)
 			if len(running) > 8 {
 				n := r.IntN(len(running))
-				p.End(now, running[n], false, waxwingpick.None[int]())
+				running[n].End(now, false, waxwingpick.None[int]())
 				running = append(running[:n], running[n+1:]...)
 			}
 		}
@@ -107,8 +113,7 @@
 		return waxwingpick.TargetID(rune('a' + turn%3))
 	})
 	byLoad := run(func(p *balance.Pool) waxwingpick.TargetID {
-		chosen, _ := p.Choose(start, nil)
-		return chosen.ID
+		return choose(t, p, start)
 	})
 	t.Logf("failed of %d: by turns %d, by load and failures %d", calls, byTurns, byLoad)
 	require.Equal(t, calls/3, byTurns)
@@ -118,25 +123,95 @@
 func TestAbsentTargetIsLeftOutUntilAProbeShowsItIsBack(t *testing.T) {
 	p := balance.New("here")
 	p.SetTargets(targets(2, 4))
-	p.Begin(start, "a")
-	p.Failed(start, "a", true)
-	p.End(start, "a", true, waxwingpick.None[int]())
+	call := p.Begin(start, "a")
+	call.Failed(start, true)
+	call.End(start, true, waxwingpick.None[int]())
 	for range 8 {
-		chosen, ok := p.Choose(start, nil)
-		require.True(t, ok)
-		require.EqualValues(t, "b", chosen.ID)
+		require.EqualValues(t, "b", choose(t, p, start))
 		p.Begin(start, "b")
 	}
-	chosen, ok := p.Choose(start, []waxwingpick.TargetID{"b"})
-	require.True(t, ok, "the only one left is tried")
-	require.EqualValues(t, "a", chosen.ID)
+	require.EqualValues(t, "a", choose(t, p, start, "b"), "the only one left is tried")
 	later := start.Add(time.Second)
-	chosen, _ = p.Choose(later, nil)
-	require.EqualValues(t, "a", chosen.ID)
-	p.Begin(later, "a")
-	chosen, _ = p.Choose(later, nil)
-	require.EqualValues(t, "b", chosen.ID, "one request probes")
-	p.End(later, "a", false, waxwingpick.None[int]())
-	chosen, _ = p.Choose(later, nil)
-	require.EqualValues(t, "a", chosen.ID)
+	require.EqualValues(t, "a", choose(t, p, later))
+	call = p.Begin(later, "a")
+	require.EqualValues(t, "b", choose(t, p, later), "one request probes")
+	call.End(later, false, waxwingpick.None[int]())
+	require.EqualValues(t, "a", choose(t, p, later))
+}
+
+// TestCallThatWouldBeLateIsRefused fills a target's two slots, whose calls take a tenth of a second each.
+func TestCallThatWouldBeLateIsRefused(t *testing.T) {
+	const took = 100 * time.Millisecond
+	placed, late := waxwingpick.VerdictPlaced, waxwingpick.VerdictLate
+	aimed := func(aim time.Duration) balance.Demand {
+		return balance.Demand{
+			Arrived: start,
+			Aim:     aim,
+		}
+	}
+	sent := aimed(took)
+	sent.Sent = true
+	sent.Deadline = start.Add(2 * took)
+	for name, test := range map[string]struct {
+		running int
+		demand  balance.Demand
+		want    waxwingpick.Verdict
+	}{
+		"free target": {
+			demand: aimed(took / 2),
+			want:   placed,
+		},
+		"last free slot": {
+			running: 1,
+			demand:  aimed(took / 2),
+			want:    placed,
+		},
+		"answer after four fifths of the aim": {
+			running: 2,
+			demand:  aimed(took * 18 / 10),
+			want:    late,
+		},
+		"answer within four fifths of the aim": {
+			running: 2,
+			demand:  aimed(took * 19 / 10),
+			want:    placed,
+		},
+		"longer queue": {
+			running: 4,
+			demand:  aimed(took * 31 / 10),
+			want:    late,
+		},
+		"longer queue and aim": {
+			running: 4,
+			demand:  aimed(took * 32 / 10),
+			want:    placed,
+		},
+		"sent before": {
+			running: 2,
+			demand:  sent,
+			want:    placed,
+		},
+		"sent before, and over its deadline": {
+			running: 4,
+			demand:  sent,
+			want:    late,
+		},
+		"neither aim nor deadline": {
+			running: 40,
+			want:    placed,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := balance.New("here")
+			p.SetTargets(targets(1, 2))
+			_, verdict := p.Choose(start, test.demand)
+			require.Equal(t, placed, verdict, "nothing is refused before the target's pace is known")
+			p.Begin(start.Add(-took), "a").End(start, false, waxwingpick.None[int]())
+			for range test.running {
+				p.Begin(start, "a")
+			}
+			_, verdict = p.Choose(start, test.demand)
+			require.Equal(t, test.want, verdict)
+		})
+	}
 }
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -36,32 +36,6 @@
 	cost time.Duration
 }
 
-// Verdict is the outcome of a choice that found no engine.
-type Verdict uint8
-
-// The verdicts on a request.
-const (
-	// VerdictPlaced says that engines were chosen.
-	VerdictPlaced Verdict = iota
-	// VerdictNone says that no engine may take the request.
-	VerdictNone
-	// VerdictLate says that no engine would answer in time.
-	VerdictLate
-)
-
-// String returns the name used in logs.
-func (v Verdict) String() string {
-	switch v {
-	case VerdictPlaced:
-		return "placed"
-	case VerdictNone:
-		return "noTarget"
-	case VerdictLate:
-		return "late"
-	}
-	return "unknown"
-}
-
 // Fleet places requests on the engines of one service; it is not safe for concurrent use.
 type Fleet struct {
 	zone    waxwingpick.AvailabilityZone
@@ -180,10 +154,10 @@
 }
 
 // Choose picks the engines with the earliest first event.
-func (f *Fleet) Choose(now time.Time, d Demand) (Choice, Verdict) {
+func (f *Fleet) Choose(now time.Time, d Demand) (Choice, waxwingpick.Verdict) {
 	runners, reader := f.options(now, d)
 	if len(runners) == 0 {
-		return Choice{}, VerdictNone
+		return Choice{}, waxwingpick.VerdictNone
 	}
 	choice := f.whole(runners)
 	if o, ok := reader.Get(); ok {
@@ -192,9 +166,9 @@
 		}
 	}
 	if now.Add(choice.Predicted + (aheadGrowth-1)*choice.Ahead).After(d.Deadline) {
-		return choice, VerdictLate
+		return choice, waxwingpick.VerdictLate
 	}
-	return choice, VerdictPlaced
+	return choice, waxwingpick.VerdictPlaced
 }
 
 // ChooseRun picks the engine that fetches the KV cache which another one holds, and generates.
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -64,7 +64,7 @@
 func TestShortPromptsStayOnOneEngine(t *testing.T) {
 	f := fleetOf(engineTarget("p", waxwingpick.RolePrefill), engineTarget("d", waxwingpick.RoleDecode))
 	c, verdict := f.Choose(start, demand("a", 200))
-	require.Equal(t, VerdictPlaced, verdict)
+	require.Equal(t, waxwingpick.VerdictPlaced, verdict)
 	require.EqualValues(t, "d", c.Run.ID)
 	_, split := c.Prefill.Get()
 	require.False(t, split)
@@ -73,7 +73,7 @@
 func TestLongPromptsAreReadApart(t *testing.T) {
 	f := fleetOf(engineTarget("p", waxwingpick.RolePrefill), engineTarget("d", waxwingpick.RoleDecode))
 	c, verdict := f.Choose(start, demand("a", 20_000))
-	require.Equal(t, VerdictPlaced, verdict)
+	require.Equal(t, waxwingpick.VerdictPlaced, verdict)
 	reader, split := c.Prefill.Get()
 	require.True(t, split)
 	require.EqualValues(t, "p", reader.ID)
@@ -145,7 +145,7 @@
 	d := demand("a", 200)
 	d.Exclude = []waxwingpick.TargetID{"tried"}
 	_, verdict := f.Choose(start, d)
-	require.Equal(t, VerdictNone, verdict)
+	require.Equal(t, waxwingpick.VerdictNone, verdict)
 	_, ok := f.ChooseRun(start, d, engineTarget("p", waxwingpick.RolePrefill))
 	require.False(t, ok)
 }
@@ -157,7 +157,7 @@
 		f.engines["d"].cache = newCache(0)
 	}
 	_, verdict := f.Choose(start, demand("b", 200))
-	require.Equal(t, VerdictLate, verdict)
+	require.Equal(t, waxwingpick.VerdictLate, verdict)
 }
 
 func TestNewRunOfATargetKeepsNothing(t *testing.T) {
@@ -257,7 +257,7 @@
 				Engines: []EngineLoad{told},
 			})
 			c, verdict := f.Choose(start, demand("a", 200))
-			require.Equal(t, VerdictLate, verdict)
+			require.Equal(t, waxwingpick.VerdictLate, verdict)
 			require.Greater(t, c.Predicted, 10*time.Second)
 		})
 	}
@@ -304,9 +304,9 @@
 		first, verdict := engines.Choose(start, d)
 		require.GreaterOrEqual(t, first.Predicted, time.Duration(0))
 		if tokens > 1_000_000 {
-			require.Equal(t, VerdictLate, verdict)
+			require.Equal(t, waxwingpick.VerdictLate, verdict)
 		}
-		if verdict != VerdictPlaced {
+		if verdict != waxwingpick.VerdictPlaced {
 			return
 		}
 		for range times {
@@ -326,7 +326,7 @@
 	// The other engine is the busier one, and keeps less.
 	f.Begin(start, "d2", demand("b", 8000), false)
 	c, verdict := f.Choose(start, demand("a", 200))
-	require.Equal(t, VerdictPlaced, verdict)
+	require.Equal(t, waxwingpick.VerdictPlaced, verdict)
 	require.EqualValues(t, "d2", c.Run.ID)
 	f.Begin(start, "p", demand("c", 200), false).Unreachable(start)
 	c, _ = f.Choose(start, demand("d", 20_000))
@@ -339,7 +339,7 @@
 	f.Begin(start, "d1", demand("a", 200), false).Unreachable(start)
 	f.Begin(start, "d2", demand("a", 200), false).Unreachable(start)
 	_, verdict := f.Choose(start, demand("b", 200))
-	require.Equal(t, VerdictPlaced, verdict)
+	require.Equal(t, waxwingpick.VerdictPlaced, verdict)
 }
 
 // TestFullMemorySendsPromptsElsewhere fills an engine's memory with running requests of one priority.
@@ -355,7 +355,7 @@
 	two.Observe(start, "one", one.Summary(start))
 	for _, f := range []*Fleet{one, two} {
 		c, verdict := f.Choose(start, demand("c", 200))
-		require.Equal(t, VerdictPlaced, verdict)
+		require.Equal(t, waxwingpick.VerdictPlaced, verdict)
 		require.EqualValues(t, "near", c.Run.ID)
 		// A prompt that shares most of its tokens with one that runs there needs no more room, but only this process knows.
 		c, _ = f.Choose(start, demand("a0", 20_000))
@@ -369,7 +369,7 @@
 		d := demand("c", 30_000)
 		d.Priority = 1
 		c, verdict := f.Choose(start, d)
-		require.Equal(t, VerdictPlaced, verdict)
+		require.Equal(t, waxwingpick.VerdictPlaced, verdict)
 		require.EqualValues(t, "far", c.Run.ID)
 	}
 }
@@ -403,7 +403,7 @@
 	two.Observe(later, "one", one.Summary(later))
 	for _, f := range []*Fleet{one, two} {
 		c, verdict := f.Choose(later, demand("a", 200))
-		require.Equal(t, VerdictPlaced, verdict)
+		require.Equal(t, waxwingpick.VerdictPlaced, verdict)
 		require.EqualValues(t, "d2", c.Run.ID)
 	}
 	// A later request's first event shows that only the one answer is lost.
@@ -424,7 +424,7 @@
 	long := demand("b", 20_000)
 	long.Deadline = start.Add(10 * time.Second)
 	c, verdict := f.Choose(start, long)
-	require.Equal(t, VerdictPlaced, verdict)
+	require.Equal(t, waxwingpick.VerdictPlaced, verdict)
 	_, split := c.Prefill.Get()
 	require.True(t, split)
 	c, _ = f.Choose(start, demand("b", 2000))
--- a/core/placement/replay_test.go
+++ b/core/placement/replay_test.go
@@ -163,7 +163,7 @@
 	w.tally.asked++
 	f := w.gateways[w.r.IntN(len(w.gateways))]
 	c, verdict := f.Choose(now, d.Demand)
-	if verdict != VerdictPlaced {
+	if verdict != waxwingpick.VerdictPlaced {
 		w.tally.refused++
 		return
 	}
@@ -295,7 +295,7 @@
 				d.Deadline = now.Add(time.Second)
 				for range tries {
 					c, verdict := f.Choose(now, d)
-					if verdict != VerdictPlaced {
+					if verdict != waxwingpick.VerdictPlaced {
 						break
 					}
 					leg := f.Begin(now, c.Run.ID, d, false)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"waxwingpick"
+	"waxwingpick/core/balance"
 	"waxwingpick/core/placement"
 )
 
@@ -70,30 +71,36 @@
 		x.convicted(now)
 		return pick{}, waxwingpick.NotRun(waxwingpick.ReasonCrashSuspect, suspicionKept, "request was in flight at repeated crashes of targets")
 	}
-	if !x.service.servesModels() {
-		chosen, ok := x.service.chooseTarget(now, x.tried)
-		if !ok {
-			return chosen, x.noTarget(now)
-		}
-		x.chosen(now, chosen)
-		return chosen, nil
-	}
-	chosen, verdict := x.service.chooseEngines(now, x.demand())
+	chosen, verdict := x.place(now)
 	switch verdict {
-	case placement.VerdictPlaced:
+	case waxwingpick.VerdictPlaced:
 		x.chosen(now, chosen)
 		return chosen, nil
-	case placement.VerdictNone:
+	case waxwingpick.VerdictNone:
 		return chosen, x.noTarget(now)
-	case placement.VerdictLate:
+	case waxwingpick.VerdictLate:
 		after := min(mostLate, max(leastLate, chosen.predicted-x.route.Aim))
-		refusal := waxwingpick.NotRun(waxwingpick.ReasonDeadline, after, "no engine would answer in time")
+		refusal := waxwingpick.NotRun(waxwingpick.ReasonDeadline, after, "no target would answer in time")
 		x.unplaced(now, verdict, chosen.predicted, refusal)
 		return chosen, refusal
 	}
 	panic("unknown verdict of the placement")
 }
 
+// place picks the engines or the target of the next attempt.
+func (x *exchange) place(now time.Time) (pick, waxwingpick.Verdict) {
+	if x.service.servesModels() {
+		return x.service.chooseEngines(now, x.demand())
+	}
+	return x.service.chooseTarget(now, balance.Demand{
+		Arrived:  x.in.Arrived,
+		Aim:      x.route.Aim,
+		Deadline: x.deadline,
+		Sent:     x.calls > 0,
+		Exclude:  x.tried,
+	})
+}
+
 func (x *exchange) demand() placement.Demand {
 	return placement.Demand{
 		Prompt:   x.in.Prompt,
@@ -115,7 +122,7 @@
 
 func (x *exchange) noTarget(now time.Time) *waxwingpick.Refusal {
 	refusal := waxwingpick.NotRun(waxwingpick.ReasonNoTarget, noTargetRetry, "no target may take the request")
-	x.unplaced(now, placement.VerdictNone, 0, refusal)
+	x.unplaced(now, waxwingpick.VerdictNone, 0, refusal)
 	return refusal
 }
 
@@ -297,7 +304,7 @@
 	if s.absent() || s.silent() {
 		x.service.failed(now, chosen, s.absent())
 	}
-	x.service.ended(now, chosen, s.refusal != nil, s.reply.Running)
+	x.service.ended(now, chosen, s.refusal != nil, s.reply.Calls)
 	x.noteCrash(chosen, s)
 }
 
--- a/internal/gateway/process_test.go
+++ b/internal/gateway/process_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"waxwingpick"
+	"waxwingpick/core/balance"
 	"waxwingpick/core/placement"
 	"waxwingpick/core/routetable"
 	"waxwingpick/core/timer"
@@ -88,14 +89,14 @@
 		now := time.Unix(100, 0)
 		send := func() pick {
 			if !engines {
-				chosen, ok := s.chooseTarget(now, nil)
-				require.True(t, ok)
+				chosen, verdict := s.chooseTarget(now, balance.Demand{})
+				require.Equal(t, waxwingpick.VerdictPlaced, verdict)
 				return chosen
 			}
 			chosen, verdict := s.chooseEngines(now, placement.Demand{
 				Deadline: now.Add(time.Minute),
 			})
-			require.Equal(t, placement.VerdictPlaced, verdict)
+			require.Equal(t, waxwingpick.VerdictPlaced, verdict)
 			return chosen
 		}
 		for range 3 {
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -79,7 +79,7 @@
 }
 
 // chooseEngines picks the engines of a model request and notes that it is sent to them.
-func (s *service) chooseEngines(now time.Time, d placement.Demand) (pick, placement.Verdict) {
+func (s *service) chooseEngines(now time.Time, d placement.Demand) (pick, waxwingpick.Verdict) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	choice, verdict := s.fleet.Choose(now, d)
@@ -90,7 +90,7 @@
 		predicted: choice.Predicted,
 		held:      choice.HeldTokens,
 	}
-	if verdict != placement.VerdictPlaced {
+	if verdict != waxwingpick.VerdictPlaced {
 		return chosen, verdict
 	}
 	if reader, split := choice.Prefill.Get(); split {
@@ -134,16 +134,18 @@
 }
 
 // chooseTarget picks a target of a plain service and notes that a call is sent to it.
-func (s *service) chooseTarget(now time.Time, exclude []waxwingpick.TargetID) (pick, bool) {
+func (s *service) chooseTarget(now time.Time, d balance.Demand) (pick, waxwingpick.Verdict) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t, ok := s.pool.Choose(now, exclude)
-	if ok {
-		s.pool.Begin(now, t.ID)
+	choice, verdict := s.pool.Choose(now, d)
+	chosen := pick{
+		run:       choice.Target,
+		predicted: choice.Predicted,
+	}
+	if verdict == waxwingpick.VerdictPlaced {
+		chosen.call = s.pool.Begin(now, choice.Target.ID)
 	}
-	return pick{
-		run: t,
-	}, ok
+	return chosen, verdict
 }
 
 // pick is what was chosen for one attempt.
@@ -154,6 +156,8 @@
 	predicted time.Duration
 	held      int
 
+	// call is that of a plain service, the legs those of engines.
+	call       *balance.Call
 	prefillLeg *placement.Leg
 	runLeg     *placement.Leg
 }
@@ -203,8 +207,10 @@
 	}
 	s.tell(target, s.locked(func() ejection.Change {
 		switch {
+		case c.call != nil:
+			return c.call.Failed(now, absent)
 		case leg == nil:
-			return s.pool.Failed(now, target.ID, absent)
+			return ejection.ChangeNone
 		case absent:
 			return leg.Unreachable(now)
 		}
@@ -216,8 +222,8 @@
 func (s *service) ended(now time.Time, c pick, failed bool, told waxwingpick.Option[int]) {
 	s.tell(c.run, s.locked(func() ejection.Change {
 		change := ejection.ChangeNone
-		if !s.engines {
-			change = s.pool.End(now, c.run.ID, failed, told)
+		if c.call != nil {
+			change = c.call.End(now, failed, told)
 		}
 		for _, leg := range []*placement.Leg{c.prefillLeg, c.runLeg} {
 			if leg != nil {
--- a/internal/gateway/trails.go
+++ b/internal/gateway/trails.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"waxwingpick"
-	"waxwingpick/core/placement"
 	"waxwingpick/core/retry"
 	"waxwingpick/io/prometheus"
 )
@@ -39,7 +38,7 @@
 }
 
 // unplaced notes that no target was chosen.
-func (x *exchange) unplaced(now time.Time, verdict placement.Verdict, predicted time.Duration, refusal *waxwingpick.Refusal) {
+func (x *exchange) unplaced(now time.Time, verdict waxwingpick.Verdict, predicted time.Duration, refusal *waxwingpick.Refusal) {
 	inputs := append([]waxwingpick.Input{
 		waxwingpick.In("service", x.service.name),
 		waxwingpick.InMillis("predicted", predicted),
--- a/target.go
+++ b/target.go
@@ -61,8 +61,8 @@
 	NotRun bool
 	// Misdirected says that another target has the address.
 	Misdirected bool
-	// Running is the number of requests at the target, where it tells it.
-	Running Option[int]
+	// Calls is the number of requests at the target, running and waiting, where it tells it.
+	Calls Option[int]
 }
 
 // RawEvent is one event of a streamed answer, as its target sent it.
