suspect: one refusal and one way to clear a suspect for all hosts; set-up of tests made one piece

Found on reading the change once more: the refusal of a request that crashed targets stood in entry, sidecar and gateway, the clearing of a suspect with a whole answer in entry and gateway, and the leg that an attempt was last sent to was worked out twice. Tests of the gateway built a process and started a second gateway in two places each. Behaviour and assertions as before.

--- a/core/suspect/record.go
+++ b/core/suspect/record.go
@@ -37,6 +37,12 @@
 	return "unknown"
 }
 
+// Refuse returns the refusal of a request that must not run; after is when its crashes no longer count, zero where that is
+// not told.
+func Refuse(after time.Duration) *waxwingpick.Refusal {
+	return waxwingpick.NotRun(waxwingpick.ReasonCrashSuspect, after, "request was in flight at repeated crashes of targets")
+}
+
 // Crash is one crash of a target.
 type Crash struct {
 	// ID names the crash, the same at every process that saw it, such as the target and its boot ID.
--- a/core/suspect/set.go
+++ b/core/suspect/set.go
@@ -114,6 +114,14 @@
 	return record
 }
 
+// Absolve clears a suspect that got its whole answer and returns the record for spreading; false means that it was none.
+func (s *Set) Absolve(now time.Time, f Fingerprint) (Record, bool) {
+	if s.Status(now, f) != StatusSuspect {
+		return Record{}, false
+	}
+	return s.Lift(now, f), true
+}
+
 // Merge takes in records of another process and returns the number of those that changed this set.
 func (s *Set) Merge(now time.Time, records []Record) int {
 	oldest := now.Add(-s.expiry)
--- a/internal/daemon/gateway_test.go
+++ b/internal/daemon/gateway_test.go
@@ -541,7 +541,7 @@
 }
 
 // TestRequestThatCrashesTargetsCostsTwoOfThem has a request sent again and again that crashes each target which runs it, at
-// two gateways in turn, beside requests that do no harm.
+// two gateways in turn; both serve other requests afterwards.
 func TestRequestThatCrashesTargetsCostsTwoOfThem(t *testing.T) {
 	t.Parallel()
 	s := newSite(t)
@@ -554,18 +554,11 @@
 	s.start()
 	defer s.stop()
 	first := s.boot
-	other := launch(t, bootOf(t, "other", s.store.Addr(), time.Second))
-	defer func() {
-		require.NoError(t, other.Stop(context.Background()))
-	}()
-	for _, boot := range []platform.Boot{first, other.boot} {
-		s.awaitPeers(boot, 1)
-	}
-	// Crashed targets lose what else they run, which is no reason to refuse it.
+	other := s.join()
 	status, _, _ := s.read(s.ask("poison0", "/read/poison", "poison"))
 	require.Equal(t, http.StatusBadGateway, status)
 	require.Eventually(t, func() bool {
-		for i, boot := range []platform.Boot{other.boot, first} {
+		for i, boot := range []platform.Boot{other, first} {
 			s.boot = boot
 			resp, err := s.ask(fmt.Sprint("poison", 1+i), "/read/poison", "poison")
 			if status, _, _ := s.read(resp, err); status != http.StatusServiceUnavailable {
@@ -575,7 +568,7 @@
 		}
 		return true
 	}, time.Minute, 10*time.Millisecond)
-	for i, boot := range []platform.Boot{first, other.boot} {
+	for i, boot := range []platform.Boot{first, other} {
 		s.boot = boot
 		status, _, _ = s.read(s.ask(fmt.Sprint("sound", i), "/read/sound", "sound"))
 		require.Equal(t, http.StatusOK, status)
@@ -589,6 +582,18 @@
 	require.Equal(t, 2, crashed)
 }
 
+// join runs a second gateway until the test's end, and waits until both tell each other load.
+func (s *site) join() platform.Boot {
+	other := launch(s.t, bootOf(s.t, "other", s.store.Addr(), time.Second))
+	s.t.Cleanup(func() {
+		require.NoError(s.t, other.Stop(context.Background()))
+	})
+	for _, boot := range []platform.Boot{s.boot, other.boot} {
+		s.awaitPeers(boot, 1)
+	}
+	return other.boot
+}
+
 // awaitPeers waits until a gateway tells its load to so many others.
 func (s *site) awaitPeers(boot platform.Boot, n int) {
 	require.Eventually(s.t, func() bool {
@@ -605,11 +610,5 @@
 func TestGatewaysFindEachOther(t *testing.T) {
 	t.Parallel()
 	s := startSite(t)
-	other := launch(t, bootOf(t, "other", s.store.Addr(), time.Second))
-	defer func() {
-		require.NoError(t, other.Stop(context.Background()))
-	}()
-	for _, boot := range []platform.Boot{s.boot, other.boot} {
-		s.awaitPeers(boot, 1)
-	}
+	s.join()
 }
--- a/internal/entry/suspects.go
+++ b/internal/entry/suspects.go
@@ -24,7 +24,7 @@
 func (p *Process) isolate(req *routing.Request, f suspect.Fingerprint, targets *serviceTargets) error {
 	switch p.suspects.Status(p.timers.Now(), f) {
 	case suspect.StatusRefused:
-		return waxwingpick.NotRun(waxwingpick.ReasonCrashSuspect, 0, "request was in flight at repeated crashes of targets")
+		return suspect.Refuse(0)
 	case suspect.StatusSuspect:
 		ids := targets.ids(req.Model)
 		home, _ := suspect.HomeOf(p.suspects.Record(f), ids)
@@ -61,10 +61,10 @@
 // absolve clears a suspect that got its whole answer.
 func (p *Process) absolve(f suspect.Fingerprint) {
 	now := p.timers.Now()
-	if p.suspects.Status(now, f) != suspect.StatusSuspect {
+	record, suspected := p.suspects.Absolve(now, f)
+	if !suspected {
 		return
 	}
-	record := p.suspects.Lift(now, f)
 	p.work.Start(func() {
 		p.spreadSuspects([]suspect.Record{record})
 	})
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -11,6 +11,7 @@
 	"waxwingpick"
 	"waxwingpick/core/balance"
 	"waxwingpick/core/placement"
+	"waxwingpick/core/suspect"
 )
 
 const (
@@ -69,7 +70,7 @@
 	}
 	if x.process.crashes.refuses(now, x.fingerprint()) {
 		x.convicted(now)
-		return pick{}, waxwingpick.NotRun(waxwingpick.ReasonCrashSuspect, suspicionKept, "request was in flight at repeated crashes of targets")
+		return pick{}, suspect.Refuse(suspicionKept)
 	}
 	chosen, verdict := x.place(now)
 	switch verdict {
@@ -310,12 +311,13 @@
 
 // noteCrash has the process find out whether an attempt failed because its target crashed.
 func (x *exchange) noteCrash(chosen pick, s sent) {
+	target, _ := chosen.last()
 	switch {
 	case !s.silent():
 	case s.unsent():
-		x.process.crashes.gone(chosen.last())
+		x.process.crashes.gone(target)
 	default:
-		x.process.crashes.lost(chosen.last(), x.fingerprint())
+		x.process.crashes.lost(target, x.fingerprint())
 	}
 }
 
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -84,13 +84,6 @@
 	return c.set.Status(now, f) == suspect.StatusRefused
 }
 
-// absolve clears a suspect that got its whole answer.
-func (c *crashes) absolve(now time.Time, f suspect.Fingerprint) {
-	if c.set.Status(now, f) == suspect.StatusSuspect {
-		c.set.Lift(now, f)
-	}
-}
-
 // lost notes that a target's answer to a request broke off, and waits for a look whether the target is down.
 func (c *crashes) lost(t waxwingpick.Target, f suspect.Fingerprint) {
 	now := c.process.timers.Now()
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -7,13 +7,11 @@
 	"testing"
 	"time"
 
-	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
 	"waxwingpick"
 	"waxwingpick/core/suspect"
 	"waxwingpick/core/timer"
-	"waxwingpick/io/prometheus"
 )
 
 // reached counts the looks at targets, which fail with err.
@@ -32,19 +30,7 @@
 // crashesOf returns the crashes of a process that has just started, with its clock.
 func crashesOf(t *testing.T, targets *reached) (*crashes, *timer.Manual) {
 	t.Helper()
-	metrics, err := prometheus.NewGateway()
-	require.NoError(t, err)
-	clock := timer.NewManual(time.Unix(1000, 0))
-	logger, _ := logtest.NewNullLogger()
-	p, err := New(Options{
-		Instance: "gateway",
-		Feed:     unused{},
-		Targets:  targets,
-		Timers:   clock,
-		Log:      logger,
-		Metrics:  metrics,
-	})
-	require.NoError(t, err)
+	p, clock := newProcess(t, targets)
 	return p.crashes, clock
 }
 
@@ -90,7 +76,7 @@
 		require.True(t, c.refuses(now, 1))
 		require.False(t, c.refuses(now, 2))
 		require.Equal(t, suspect.StatusSuspect, c.set.Status(now, 2))
-		c.absolve(now, 2)
+		c.set.Absolve(now, 2)
 		require.Equal(t, suspect.StatusClean, c.set.Status(now, 2))
 		require.False(t, c.refuses(now.Add(suspicionKept), 1))
 	}
--- a/internal/gateway/process_test.go
+++ b/internal/gateway/process_test.go
@@ -4,7 +4,6 @@
 	"testing"
 	"time"
 
-	"github.com/sirupsen/logrus"
 	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
@@ -22,6 +21,25 @@
 	waxwingpick.Dispatcher
 }
 
+// newProcess returns a process that does not serve yet, with its clock.
+func newProcess(t *testing.T, targets waxwingpick.Dispatcher) (*Process, *timer.Manual) {
+	t.Helper()
+	metrics, err := prometheus.NewGateway()
+	require.NoError(t, err)
+	clock := timer.NewManual(time.Unix(1000, 0))
+	logger, _ := logtest.NewNullLogger()
+	p, err := New(Options{
+		Instance: "gateway",
+		Feed:     unused{},
+		Targets:  targets,
+		Timers:   clock,
+		Log:      logger,
+		Metrics:  metrics,
+	})
+	require.NoError(t, err)
+	return p, clock
+}
+
 // TestReadyOnlyOnceServicesHaveTheirTargets takes the steps of a start one by one, in both orders: a request that came
 // between the last two found a service without targets.
 func TestReadyOnlyOnceServicesHaveTheirTargets(t *testing.T) {
@@ -29,17 +47,7 @@
 		Name: "app",
 	}}, routetable.Limits{})
 	for _, listFirst := range []bool{true, false} {
-		metrics, err := prometheus.NewGateway()
-		require.NoError(t, err)
-		p, err := New(Options{
-			Instance: "gateway",
-			Feed:     unused{},
-			Targets:  unused{},
-			Timers:   timer.NewManual(time.Unix(0, 0)),
-			Log:      logrus.New(),
-			Metrics:  metrics,
-		})
-		require.NoError(t, err)
+		p, _ := newProcess(t, unused{})
 		targets := &targetsSink{
 			process: p,
 		}
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -194,7 +194,7 @@
 // finish ends the request's bookkeeping; refusal is nil where the caller got a target's answer.
 func (x *exchange) finish(refusal *waxwingpick.Refusal) {
 	if refusal == nil {
-		x.process.crashes.absolve(x.process.timers.Now(), x.fingerprint())
+		x.process.crashes.set.Absolve(x.process.timers.Now(), x.fingerprint())
 	}
 	x.concluded(refusal)
 	x.cancel()
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -170,12 +170,12 @@
 	return p.runLeg
 }
 
-// last returns the target to which an attempt was last sent.
-func (p pick) last() waxwingpick.Target {
+// last returns the target to which an attempt was last sent, and its leg there; a plain service has no legs.
+func (p pick) last() (waxwingpick.Target, *placement.Leg) {
 	if p.runLeg == nil && p.prefillLeg != nil {
-		return p.prefill.OrElse(p.run)
+		return p.prefill.OrElse(p.run), p.prefillLeg
 	}
-	return p.run
+	return p.run, p.runLeg
 }
 
 // prefilled notes that the reading engine is done with the prompt.
@@ -201,10 +201,7 @@
 
 // failed notes that the target to which an attempt was last sent is not there, or gave no answer.
 func (s *service) failed(now time.Time, c pick, absent bool) {
-	leg, target := c.runLeg, c.last()
-	if leg == nil {
-		leg = c.prefillLeg
-	}
+	target, leg := c.last()
 	s.tell(target, s.locked(func() ejection.Change {
 		switch {
 		case c.call != nil:
--- a/internal/sidecar/crash.go
+++ b/internal/sidecar/crash.go
@@ -47,7 +47,7 @@
 	defer c.mu.Unlock()
 	status := c.set.Status(now, f)
 	if status == suspect.StatusRefused {
-		return waxwingpick.NotRun(waxwingpick.ReasonCrashSuspect, 0, "request was in flight at repeated crashes of targets")
+		return suspect.Refuse(0)
 	}
 	if !c.isolation.Enter(id, f, status) {
 		return waxwingpick.NotRun(waxwingpick.ReasonCrashSuspect, retryAfterCrash, "another suspect runs at the target")
