stand-ins: the address of one that is down is nobody else's

Change: stand-ins take addresses below the kernel's ports, none twice. Before and after: TestAddressOfAServerThatIsDownIsLeftFree failed 3 of 3 times, passes 3 of 3. Checks as before.

--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -60,7 +60,6 @@
 func New(routes func(app *fiber.App), opts ...Option) (*Server, error) {
 	s := &Server{
 		cfg: settings{
-			addr:        loopback.AnyPort(),
 			restartTime: defaultRestartTime,
 		},
 		done: make(chan struct{}),
@@ -70,6 +69,13 @@
 			return nil, fmt.Errorf("stand-in option: %w", err)
 		}
 	}
+	if s.cfg.addr == "" {
+		// While the server is down its address stays free, so that callers reach nobody there.
+		var err error
+		if s.cfg.addr, err = loopback.Free(); err != nil {
+			return nil, fmt.Errorf("choose an address: %w", err)
+		}
+	}
 	if s.cfg.timers == nil {
 		s.system = timer.NewSystem()
 		s.cfg.timers = s.system
