gateways: one retry budget over the fleet, and a second leg alone is sent again

The second reading counts against the platform's budget, but took nothing from ours, and was free where the engine could not be reached.

Change: core/retry shares: what follows a process's own requests needs no agreement and is 0.875 of the ratio at most; of the slack three quarters are dealt out in equal parts by the greatest number of listed gateways of the last minute, and nothing to a process that doesn't know it yet. A reading keeps its KV cache until it is taken, refused twice or as old as engines keep it; a retry that may read the prompt again takes two from the budget.

Ruled out: the fraction alone, as 0.15 of 9,349 requests are 1,402.

--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -104,6 +104,11 @@
 	f.engines = known
 }
 
+// HandleLife returns how long an engine keeps KV cache that another one is to fetch; zero where that is not known.
+func (f *Fleet) HandleLife() time.Duration {
+	return f.traits.HandleLife
+}
+
 func (f *Fleet) paceOf(r waxwingpick.Role) *pace {
 	if r == waxwingpick.RolePrefill {
 		return &f.prefill
--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -26,6 +26,8 @@
 	Refusal *waxwingpick.Refusal
 	// Unsent says that nothing reached a target: the attempt then costs nobody anything, and counts for no bound.
 	Unsent bool
+	// Sendings is how many sendings a retry brings, the reading of a prompt apart being one more; zero means one.
+	Sendings int
 	// Repeatable says that the request may run more than once.
 	Repeatable bool
 	// Delivered says that the caller got a part of the answer, so that only a continuation could follow.
@@ -35,6 +37,15 @@
 	Needed time.Duration
 }
 
+// counted returns how many sendings of a retry the budget bounds: in place of one that reached nobody another one is free.
+func (a Attempt) counted() int {
+	n := max(1, a.Sendings)
+	if a.Unsent {
+		n--
+	}
+	return n
+}
+
 // Verdict says whether and when an attempt is tried again.
 type Verdict struct {
 	Retry bool
@@ -64,6 +75,22 @@
 	}
 }
 
+// Within sets a budget that several processes have together, in place of a fraction of this one's requests.
+func Within(bounds Bounds) Option {
+	return func(p *Policy) error {
+		if err := bounds.Check(); err != nil {
+			return err
+		}
+		p.budget = &Budget{
+			fraction: earnedShare * bounds.Ratio,
+			shares: &shares{
+				bounds: bounds,
+			},
+		}
+		return nil
+	}
+}
+
 // Attempts bounds the attempts of one request, the first one included.
 func Attempts(n int) Option {
 	return func(p *Policy) error {
@@ -124,6 +151,11 @@
 	return p.budget.SetFraction(fraction)
 }
 
+// SetProcesses tells how many processes have a budget together that was set by Within.
+func (p *Policy) SetProcesses(now time.Time, n int) {
+	p.budget.SetProcesses(now, n)
+}
+
 // Request counts a first attempt.
 func (p *Policy) Request(now time.Time) {
 	p.budget.Request(now)
@@ -147,7 +179,7 @@
 	if now.Add(delay + a.Needed).After(a.Deadline) {
 		return giveUp(a.Refusal)
 	}
-	if !a.Unsent && !p.budget.Take(now) {
+	if n := a.counted(); n > 0 && !p.budget.Take(now, n) {
 		return giveUp(a.Refusal)
 	}
 	return Verdict{
--- a/core/routetable/table.go
+++ b/core/routetable/table.go
@@ -68,6 +68,8 @@
 	TokenBytes   int
 	// LinkBytesPerSecond is the rate of transfers between engines.
 	LinkBytesPerSecond float64
+	// HandleLife is how long an engine keeps KV cache that another one is to fetch.
+	HandleLife time.Duration
 }
 
 // Service describes one service.
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -24,9 +24,6 @@
 )
 
 const (
-	// retryShare is the part of the fleet's retry budget that each gateway uses of its own requests: the rest is left for
-	// requests that move between windows of the budget.
-	retryShare = 0.75
 	// lameDuckShare is the part of the time until the process is killed in which it still takes requests: the balancer
 	// needs two of its checks, a second apart, and callers with open connections go on until these end.
 	lameDuckShare = 0.6
@@ -168,17 +165,17 @@
 			Target:        platform.ReadTarget,
 			TargetID:      platform.TargetID,
 		},
-		Targets:       targets,
-		Peers:         link,
-		PeerAddr:      peerAddr,
-		KeyValue:      p.store,
-		Timers:        p.timers,
-		Log:           lines.Logger(),
-		Metrics:       metrics,
-		Decisions:     lines,
-		RetryFraction: retryShare * boot.RetryRatio,
-		LameDuck:      time.Duration(lameDuckShare * float64(boot.Grace)),
-		End:           untilEnd(boot.Grace),
+		Targets:   targets,
+		Peers:     link,
+		PeerAddr:  peerAddr,
+		KeyValue:  p.store,
+		Timers:    p.timers,
+		Log:       lines.Logger(),
+		Metrics:   metrics,
+		Decisions: lines,
+		Retries:   boot.Retries,
+		LameDuck:  time.Duration(lameDuckShare * float64(boot.Grace)),
+		End:       untilEnd(boot.Grace),
 	})
 	if err != nil {
 		return nil, err
--- a/internal/daemon/gateway_test.go
+++ b/internal/daemon/gateway_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"waxwingpick"
+	"waxwingpick/core/retry"
 	"waxwingpick/internal/loopback"
 	"waxwingpick/internal/standin/store"
 	"waxwingpick/internal/standin/target"
@@ -54,6 +55,7 @@
 					"kvTokens":     400_000,
 					"kvTokenBytes": 35_000,
 					"linkMbps":     200_000,
+					"handleTtlS":   5,
 				},
 			},
 			map[string]any{
@@ -113,6 +115,8 @@
 func (s *site) start() {
 	s.launch(2 * time.Second)
 	require.Eventually(s.t, s.ready, time.Minute, 5*time.Millisecond)
+	// Until it knows the others it has no retries saved up.
+	s.awaitMetric(s.boot, "waxwingpick_gateway_sharing 1\n")
 }
 
 // setFaults gives several targets the same faults.
@@ -148,7 +152,12 @@
 		Memory:       256 << 20,
 		Descriptors:  4096,
 		Grace:        grace,
-		RetryRatio:   1,
+		// Single requests are repeated, soon after the start.
+		Retries: retry.Bounds{
+			Ratio:  1,
+			Slack:  1_000_000,
+			Window: 10 * time.Second,
+		},
 	}
 }
 
@@ -540,6 +549,57 @@
 	require.Less(t, s.engines[1].Misdirected(), asked/2)
 }
 
+// TestPromptIsReadOnceWhereOnlyItsSecondLegFails has the engine that is to generate be away, another one or full: the KV
+// cache that was read is still good for the next one.
+func TestPromptIsReadOnceWhereOnlyItsSecondLegFails(t *testing.T) {
+	t.Parallel()
+	for name, spoil := range map[string]func(s *site){
+		"away": func(s *site) {
+			s.engines[0].Close()
+		},
+		"another target": func(s *site) {
+			require.NoError(t, s.store.Put(t.Context(), "servers/a-ghost", s.engines[1].Entry("llm", "zone", "ready")))
+		},
+		"full": func(s *site) {
+			s.engines[0].SetFaults(target.Faults{
+				Full: true,
+			})
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t)
+			spoil(s)
+			s.start()
+			defer s.stop()
+			// More refusals in a row would stop retries.
+			const asked = 5
+			for i := range asked {
+				resp, err := s.ask(fmt.Sprint("id", i), "/quick/a", "", "Waxwingpick-Prompt-Prefix", fmt.Sprintf("%x:29000", 1+i))
+				status, body, whole := s.read(resp, err)
+				require.Equal(t, http.StatusOK, status, "%d: %s", i, body)
+				require.True(t, whole)
+			}
+			require.Len(t, s.runs(), asked)
+			require.LessOrEqual(t, s.engines[2].Readings(), asked)
+			require.Eventually(t, func() bool {
+				return s.engines[2].Handles() == s.taken()
+			}, time.Minute, time.Millisecond)
+		})
+	}
+}
+
+// taken returns how many runs began with KV cache that was read elsewhere.
+func (s *site) taken() int {
+	n := 0
+	for _, r := range s.runs() {
+		if r.Headers["Waxwingpick-Kv-Source"] != "" {
+			n++
+		}
+	}
+	return n
+}
+
 // TestRequestThatCrashesTargetsCostsTwoOfThem has a request sent again and again that crashes each target which runs it, at
 // two gateways in turn; both serve other requests afterwards.
 func TestRequestThatCrashesTargetsCostsTwoOfThem(t *testing.T) {
@@ -596,13 +656,18 @@
 
 // awaitPeers waits until a gateway tells its load to so many others.
 func (s *site) awaitPeers(boot platform.Boot, n int) {
+	s.awaitMetric(boot, fmt.Sprintf("waxwingpick_gateway_peers %d\n", n))
+}
+
+// awaitMetric waits until the metrics of a gateway have a line.
+func (s *site) awaitMetric(boot platform.Boot, line string) {
 	require.Eventually(s.t, func() bool {
 		resp, err := s.http.Get("http://" + boot.Metrics + "/metrics")
 		if err != nil {
 			return false
 		}
 		status, body, whole := s.read(resp, nil)
-		return status == http.StatusOK && whole && strings.Contains(body, fmt.Sprintf("waxwingpick_gateway_peers %d\n", n))
+		return status == http.StatusOK && whole && strings.Contains(body, line)
 	}, time.Minute, 10*time.Millisecond)
 }
 
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -18,8 +18,6 @@
 	// leastLate and mostLate bound when a caller is to come back whose request would have been late.
 	leastLate = 100 * time.Millisecond
 	mostLate  = 2 * time.Second
-	// releaseTime bounds the freeing of KV cache after its request has ended.
-	releaseTime = time.Second
 )
 
 // sent is how one attempt ended, or began in the case of a stream.
@@ -72,6 +70,9 @@
 		x.convicted(now)
 		return pick{}, suspect.Refuse(suspicionKept)
 	}
+	if kept, ok := x.kept.Get(); ok {
+		return x.chooseAgain(now, kept)
+	}
 	chosen, verdict := x.place(now)
 	switch verdict {
 	case waxwingpick.VerdictPlaced:
@@ -130,18 +131,16 @@
 // send makes one attempt and waits for its answer, or for the first event of a stream. It returns the targets with the
 // one that ran the request, which is known only after its prompt was read elsewhere.
 func (x *exchange) send(chosen pick) (pick, sent) {
-	var source waxwingpick.Option[waxwingpick.KVSource]
 	x.calls++
-	if reader, ok := chosen.prefill.Get(); ok {
-		kept, s := x.prefill(chosen, reader)
-		if s.refusal != nil {
+	if chosen.toRead() {
+		reader := chosen.prefill.OrElse(chosen.run)
+		if s := x.read(chosen, reader); s.refusal != nil {
 			x.countUnsent(s)
 			x.tried = append(x.tried, reader.ID)
 			return chosen, s
 		}
-		source = waxwingpick.Some(kept.Source)
+		var ok bool
 		if chosen, ok = x.service.chooseRun(x.process.timers.Now(), x.demand(), chosen); !ok {
-			x.release(source)
 			return chosen, sent{
 				refusal: x.noTarget(x.process.timers.Now()),
 			}
@@ -155,7 +154,7 @@
 		CopyFrom:    copyFrom(chosen.runLeg),
 		Remaining:   x.remaining(),
 		Priority:    x.route.Priority,
-		Source:      source,
+		Source:      x.source(),
 		ResumeAfter: x.resumeAfter(),
 		Stream:      x.route.Kind == waxwingpick.RequestStream,
 	})
@@ -165,8 +164,8 @@
 			x.attempts--
 		}
 		x.countUnsent(s)
-		x.release(source)
 	}
+	x.settle(s)
 	if s.refusal == nil && reply.Events != nil {
 		s = x.firstEvent(s)
 	}
@@ -194,33 +193,6 @@
 	return x.deadline.Sub(x.process.timers.Now())
 }
 
-// prefill has the prompt read at one engine for another one.
-func (x *exchange) prefill(chosen pick, reader waxwingpick.Target) (waxwingpick.Prefilled, sent) {
-	kept, err := x.process.options.Targets.Prefill(x.ctx, waxwingpick.Dispatch{
-		Inbound:   x.in,
-		Target:    reader,
-		CopyFrom:  copyFrom(chosen.prefillLeg),
-		Remaining: x.remaining(),
-		Priority:  x.route.Priority,
-	})
-	if err == nil {
-		x.service.prefilled(x.process.timers.Now(), chosen)
-		if x.ctx.Err() == nil {
-			x.prefilled(reader)
-			return kept, sent{}
-		}
-		x.release(waxwingpick.Some(kept.Source))
-		err = x.ctx.Err()
-	}
-	// Reading a prompt is not running its request.
-	s := sent{
-		err:     err,
-		refusal: waxwingpick.NotRun(reasonOf(err), noTargetRetry, "prompt was not read"),
-	}
-	x.prefillFailed(reader, s)
-	return kept, s
-}
-
 // copyFrom returns the engine from which that of a leg copies KV cache; a plain service has no legs.
 func copyFrom(leg *placement.Leg) waxwingpick.Option[waxwingpick.Target] {
 	if leg == nil {
@@ -229,22 +201,6 @@
 	return leg.From()
 }
 
-// release frees KV cache that nobody will fetch, without keeping the caller waiting.
-func (x *exchange) release(source waxwingpick.Option[waxwingpick.KVSource]) {
-	kept, ok := source.Get()
-	if !ok {
-		return
-	}
-	p := x.process
-	p.loops.Go(func() {
-		ctx, cancel := context.WithTimeout(p.lifecycle, releaseTime)
-		defer cancel()
-		if err := p.options.Targets.Release(ctx, kept); err != nil {
-			p.log.WithField("error", err.Error()).Debug("KV cache not released: its engine drops it by itself")
-		}
-	})
-}
-
 // judge tells what a target's answer or silence means.
 func (x *exchange) judge(reply waxwingpick.Dispatched, err error) sent {
 	s := sent{
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -243,6 +243,9 @@
 		s, ok := p.services[name]
 		if !ok {
 			s = newService(name, p.options)
+			if n := int(p.gateways.Load()); n > 0 {
+				s.setGateways(p.timers.Now(), n)
+			}
 			p.services[name] = s
 		}
 		known, _ := table.Service(name)
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -101,6 +101,7 @@
 	changed := !slices.Equal(g.peers, peers)
 	g.peers = peers
 	g.mu.Unlock()
+	g.process.setGateways(g.process.timers.Now(), 1+len(peers))
 	g.process.options.Metrics.Peers(len(peers))
 	if changed {
 		g.process.log.WithFields(logrus.Fields{
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 
 	"waxwingpick"
+	"waxwingpick/core/retry"
 	"waxwingpick/core/routetable"
 	"waxwingpick/io/prometheus"
 )
@@ -44,8 +45,8 @@
 	Metrics  *prometheus.Gateway
 	// Decisions takes what is decided about requests; nil keeps none of it.
 	Decisions waxwingpick.DecisionLog
-	// RetryFraction is the share of requests that this process may send once more.
-	RetryFraction float64
+	// Retries bounds what all gateways may send once more.
+	Retries retry.Bounds
 	// LameDuck is how long a stopping process still takes requests, until callers and balancer have gone elsewhere.
 	LameDuck time.Duration
 	// End is how long after its stop the process is ended whatever runs; zero where it is not.
@@ -59,5 +60,5 @@
 	if o.Peers != nil && (o.KeyValue == nil || o.PeerAddr == "") {
 		return eris.Wrap(ErrOptions, "key-value service or address of the link to other gateways")
 	}
-	return nil
+	return o.Retries.Check()
 }
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -48,6 +48,9 @@
 	servicesMu sync.RWMutex
 	services   map[waxwingpick.ServiceName]*service
 
+	// gateways is how many gateways are listed; zero as long as that is not known.
+	gateways atomic.Int64
+
 	lifecycle context.Context
 	end       context.CancelFunc
 	loops     conc.WaitGroup
@@ -153,6 +156,15 @@
 	return slices.Collect(maps.Values(p.services))
 }
 
+// setGateways tells how many gateways there are, this one among them.
+func (p *Process) setGateways(now time.Time, n int) {
+	p.gateways.Store(int64(n))
+	p.options.Metrics.Sharing(n)
+	for _, s := range p.allServices() {
+		s.setGateways(now, n)
+	}
+}
+
 // newRandom returns a source that differs between processes, so that their jitter does.
 func newRandom() *rand.Rand {
 	return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
--- a/internal/gateway/process_test.go
+++ b/internal/gateway/process_test.go
@@ -10,6 +10,7 @@
 	"waxwingpick"
 	"waxwingpick/core/balance"
 	"waxwingpick/core/placement"
+	"waxwingpick/core/retry"
 	"waxwingpick/core/routetable"
 	"waxwingpick/core/timer"
 	"waxwingpick/io/prometheus"
@@ -35,6 +36,11 @@
 		Timers:   clock,
 		Log:      logger,
 		Metrics:  metrics,
+		Retries: retry.Bounds{
+			Ratio:  0.2,
+			Slack:  50,
+			Window: 10 * time.Second,
+		},
 	})
 	require.NoError(t, err)
 	return p, clock
@@ -81,6 +87,9 @@
 		logger, lines := logtest.NewNullLogger()
 		s := newService("service", Options{
 			Log: logger,
+			Retries: retry.Bounds{
+				Window: time.Second,
+			},
 		})
 		known := routetable.Service{
 			Name: "service",
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -50,6 +50,9 @@
 	calls    int
 	unsent   int
 	tried    []waxwingpick.TargetID
+	// readings counts the readings of the prompt that an engine may have begun, kept is the last one's KV cache.
+	readings int
+	kept     waxwingpick.Option[reading]
 	// mayHaveRun says that an attempt was sent that may have run.
 	mayHaveRun bool
 	// left says that the caller stopped taking a stream.
@@ -158,6 +161,7 @@
 		Number:     x.calls,
 		Refusal:    refusal,
 		Unsent:     s.unsent(),
+		Sendings:   x.sendings(),
 		Repeatable: x.route.Repeatable(),
 		Deadline:   x.deadline,
 	})
@@ -197,6 +201,7 @@
 		x.process.crashes.set.Absolve(x.process.timers.Now(), x.fingerprint())
 	}
 	x.concluded(refusal)
+	x.release()
 	x.cancel()
 	x.process.gate.Leave(x.gateID)
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -27,9 +27,9 @@
 }
 
 func newService(name waxwingpick.ServiceName, o Options) *service {
-	retries, err := retry.New(retry.Rand(newRandom()), retry.Fraction(o.RetryFraction))
+	retries, err := retry.New(retry.Rand(newRandom()), retry.Within(o.Retries))
 	if err != nil {
-		// The fraction was checked with the settings, so that only a nil source could fail.
+		// The bounds were checked with the options, so that only a nil source could fail.
 		panic(err)
 	}
 	return &service{
@@ -53,6 +53,13 @@
 	s.pool.SetTargets(targets)
 }
 
+// handleLife returns how long engines keep KV cache for others.
+func (s *service) handleLife() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.fleet.HandleLife()
+}
+
 // servesModels reports whether the service's targets are model engines.
 func (s *service) servesModels() bool {
 	s.mu.Lock()
@@ -60,6 +67,13 @@
 	return s.engines
 }
 
+// setGateways tells how many gateways have the retry budget together.
+func (s *service) setGateways(now time.Time, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retries.SetProcesses(now, n)
+}
+
 func (s *service) arrived(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -162,6 +176,12 @@
 	runLeg     *placement.Leg
 }
 
+// toRead reports whether the prompt is to be read at an engine of its own first.
+func (p pick) toRead() bool {
+	_, split := p.prefill.Get()
+	return split && p.runLeg == nil
+}
+
 // readLeg returns the leg that reads the prompt; nil at a plain service.
 func (p pick) readLeg() *placement.Leg {
 	if p.prefillLeg != nil {
--- a/internal/rapidtest/episode.go
+++ b/internal/rapidtest/episode.go
@@ -1,7 +1,6 @@
 package rapidtest
 
 import (
-	"math/rand/v2"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -32,8 +31,7 @@
 // FirstViolation returns what goes wrong first in the episodes of fixed seeds, nil if nothing does.
 func FirstViolation(episode Episode) error {
 	for seed := range uint64(violationSeeds) {
-		source := rand.New(rand.NewPCG(seed, 0))
-		if err := episode(source.IntN); err != nil {
+		if err := episode(Seeded(seed)); err != nil {
 			return err
 		}
 	}
--- /dev/null
+++ b/internal/rapidtest/seeded.go
@@ -0,0 +1,8 @@
+package rapidtest
+
+import "math/rand/v2"
+
+// Seeded returns the draws of a fixed seed.
+func Seeded(seed uint64) Draw {
+	return rand.New(rand.NewPCG(seed, 0)).IntN
+}
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -123,6 +123,13 @@
 	return t.misdirected
 }
 
+// Readings returns how many prompts the target read for others.
+func (t *Target) Readings() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.next
+}
+
 // Handles returns the number of handles that were neither taken nor freed.
 func (t *Target) Handles() int {
 	t.mu.Lock()
--- a/io/prometheus/gateway.go
+++ b/io/prometheus/gateway.go
@@ -27,6 +27,7 @@
 	running    client.Gauge
 	version    client.Gauge
 	peers      client.Gauge
+	sharing    client.Gauge
 	targets    *client.GaugeVec
 }
 
@@ -43,10 +44,11 @@
 		running:    single("gateway_running", "Requests that run."),
 		version:    single("gateway_routes_version", "Version of the configuration in force."),
 		peers:      single("gateway_peers", "Other gateways that load is told to."),
+		sharing:    single("gateway_sharing", "Gateways that share the retry budget; zero as long as their number is not known."),
 		targets:    gauge("gateway_targets", "Targets of the platform's list by state.", "service", "state"),
 	}
 	for _, c := range []client.Collector{
-		g.requests, g.answers, g.firstEvent, g.refused, g.retries, g.attempts, g.running, g.version, g.peers, g.targets,
+		g.requests, g.answers, g.firstEvent, g.refused, g.retries, g.attempts, g.running, g.version, g.peers, g.sharing, g.targets,
 	} {
 		if err := g.registry.Register(c); err != nil {
 			return nil, fmt.Errorf("register metrics: %w", err)
@@ -113,6 +115,11 @@
 	g.peers.Set(float64(n))
 }
 
+// Sharing sets the number of gateways that share the retry budget.
+func (g *Gateway) Sharing(n int) {
+	g.sharing.Set(float64(n))
+}
+
 // Targets sets the targets of a service that take requests and those that leave.
 func (g *Gateway) Targets(service waxwingpick.ServiceName, ready, leaving int) {
 	label := g.services.label(string(service))
