gateways: few of each availability zone read the store, and tell the others

Change: one watch of all keys in place of one for each prefix, and core/feed: the two best ranked gateways of a zone that reach the store read it and tell the others, with revisions, in datagrams; silence, gaps and relays without the store lead back to it. The list of gateways comes with the same feed, whose keys name the zone. An entry that lapsed is written again as soon as that is heard.

Ruled out: longer waits alone, as each change and each start still costs a call of every gateway.

--- a/internal/daemon/faults_test.go
+++ b/internal/daemon/faults_test.go
@@ -15,6 +15,7 @@
 	"waxwingpick/core/config"
 	"waxwingpick/core/plan"
 	"waxwingpick/internal/demo"
+	"waxwingpick/internal/loopback"
 	"waxwingpick/io/sidecar"
 )
 
@@ -41,11 +42,11 @@
 }
 
 // cutOf cuts one way of a relay.
-func cutOf(name string, d direction, of func(s *system) *relay) fault {
+func cutOf(name string, d loopback.Direction, of func(s *system) *relay) fault {
 	return fault{
 		name: name,
-		do:   func(s *system) { of(s).cut(d) },
-		heal: func(s *system) { of(s).heal() },
+		do:   func(s *system) { of(s).Cut(d) },
+		heal: func(s *system) { of(s).Heal() },
 	}
 }
 
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -159,6 +159,7 @@
 		Zone:     boot.Zone,
 		Feed:     p.store,
 		Catalog: gateway.Catalog{
+			Prefix:        platform.FeedPrefix,
 			RoutesPrefix:  platform.ConfigPrefix,
 			TargetsPrefix: platform.TargetsPrefix,
 			Routes:        platform.ReadConfig,
--- a/internal/daemon/gateway_test.go
+++ b/internal/daemon/gateway_test.go
@@ -662,13 +662,18 @@
 // awaitMetric waits until the metrics of a gateway have a line.
 func (s *site) awaitMetric(boot platform.Boot, line string) {
 	require.Eventually(s.t, func() bool {
-		resp, err := s.http.Get("http://" + boot.Metrics + "/metrics")
-		if err != nil {
-			return false
-		}
-		status, body, whole := s.read(resp, nil)
-		return status == http.StatusOK && whole && strings.Contains(body, line)
-	}, time.Minute, 10*time.Millisecond)
+		return s.hasMetric(boot, line)
+	}, time.Minute, 10*time.Millisecond, line)
+}
+
+// hasMetric reports whether the metrics of a gateway have a line.
+func (s *site) hasMetric(boot platform.Boot, line string) bool {
+	resp, err := s.http.Get("http://" + boot.Metrics + "/metrics")
+	if err != nil {
+		return false
+	}
+	status, body, whole := s.read(resp, nil)
+	return status == http.StatusOK && whole && strings.Contains(body, line)
 }
 
 // TestGatewaysFindEachOther starts a second gateway and reads from the metrics of both that they tell each other load.
--- a/internal/daemon/outage_test.go
+++ b/internal/daemon/outage_test.go
@@ -34,13 +34,13 @@
 		},
 		{
 			name: "unreachable",
-			do:   func(s *system) { s.eachKeyValue(func(r *relay) { r.cut(forward, back) }) },
-			heal: func(s *system) { s.eachKeyValue((*relay).heal) },
+			do:   func(s *system) { s.eachKeyValue(func(r *relay) { r.Cut(forward, back) }) },
+			heal: func(s *system) { s.eachKeyValue((*relay).Heal) },
 		},
 		{
 			name: "answers lost after effect",
-			do:   func(s *system) { s.eachKeyValue(func(r *relay) { r.cut(back) }) },
-			heal: func(s *system) { s.eachKeyValue((*relay).heal) },
+			do:   func(s *system) { s.eachKeyValue(func(r *relay) { r.Cut(back) }) },
+			heal: func(s *system) { s.eachKeyValue((*relay).Heal) },
 		},
 	}
 }
@@ -194,13 +194,13 @@
 	require.NoError(t, err)
 	starting, stopping := s.entry(1), s.entry(0)
 	s.kill(starting)
-	s.eachWayOf(starting, func(r *relay) { r.cut(forward, back) })
+	s.eachWayOf(starting, func(r *relay) { r.Cut(forward, back) })
 	s.restart(starting)
 	s.await(func() bool {
 		return status(starting.listen, "/readyz") == http.StatusServiceUnavailable
 	})
 	s.refused(caller, 1, "before", waxwingpick.ReasonNotReady)
-	s.eachWayOf(starting, (*relay).heal)
+	s.eachWayOf(starting, (*relay).Heal)
 	s.awaitAgreed()
 	for _, e := range s.engines {
 		e.SetFaults(standinengine.Faults{Slow: 10_000})
@@ -255,7 +255,7 @@
 	_, err := s.book(caller, 0, "before")
 	require.NoError(s.t, err)
 	old := s.config().Revision
-	s.eachBetweenRegions(func(r *relay) { r.cut(forward, back) })
+	s.eachBetweenRegions(func(r *relay) { r.Cut(forward, back) })
 	s.await(func() bool {
 		return s.plan().Holder == s.entry(0).instance.ID
 	})
@@ -273,7 +273,7 @@
 		require.NoError(s.t, err, "a question")
 	}
 	require.True(s.t, s.regionFollows(1, old), "the region apart keeps its records")
-	s.eachBetweenRegions((*relay).heal)
+	s.eachBetweenRegions((*relay).Heal)
 	s.awaitAgreed()
 	require.GreaterOrEqual(s.t, s.plan().Epoch, epoch)
 	for _, key := range []string{"before", "meanwhile", "apart"} {
--- a/internal/daemon/system_test.go
+++ b/internal/daemon/system_test.go
@@ -214,7 +214,7 @@
 	})
 	n.target = newRelay(s.t, target)
 	s.settings(n, "sidecar", "target: "+id, "service: "+string(service), "kind: "+kind,
-		"data: "+n.instance.Data, "targetAddress: "+n.target.addr)
+		"data: "+n.instance.Data, "targetAddress: "+n.target.Addr())
 }
 
 func (s *system) addEntry(i int) {
@@ -250,7 +250,7 @@
 		"instance: " + string(n.instance.ID),
 		"availabilityZone: " + string(n.instance.Zone),
 		"control: " + n.instance.Control,
-		"keyValue: " + n.kv.addr,
+		"keyValue: " + n.kv.Addr(),
 		"platform: " + n.list.Addr(),
 		// Each node sees the others through relays of its own.
 		"ownList: true",
@@ -267,11 +267,11 @@
 			seen := peer.instance
 			if peer != n {
 				n.control[peer.instance.ID] = newRelay(s.t, peer.instance.Control)
-				seen.Control = n.control[peer.instance.ID].addr
+				seen.Control = n.control[peer.instance.ID].Addr()
 			}
 			if peer != n && seen.Data != "" {
 				n.data[peer.instance.ID] = newRelay(s.t, peer.instance.Data)
-				seen.Data = n.data[peer.instance.ID].addr
+				seen.Data = n.data[peer.instance.ID].Addr()
 			}
 			list = append(list, seen)
 		}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -2,12 +2,15 @@
 
 import (
 	"errors"
+	"strings"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"waxwingpick"
-	"waxwingpick/core/routetable"
+	"waxwingpick/core/feed"
+
 	"waxwingpick/core/timer"
 	"waxwingpick/internal/dependency"
 )
@@ -15,250 +18,229 @@
 const (
 	// watchWait is how long a call waits for changes; a connection that fell silent shows soon after it.
 	watchWait = time.Second
-	// targetsPause is the time between two calls for changes of targets, which write often.
-	targetsPause = 200 * time.Millisecond
-	// routesPause is the time between two calls for changes of the configuration, which are rare.
-	routesPause = 50 * time.Millisecond
+	// watchPause is the time between two calls for changes, which come in series.
+	watchPause = 100 * time.Millisecond
+	// idlePause is the time between two looks whether this process has to read changes itself.
+	idlePause = 50 * time.Millisecond
 	// leastRetry and mostRetry bound the time before a call that failed is made again.
 	leastRetry = 50 * time.Millisecond
 	mostRetry  = 500 * time.Millisecond
 )
 
-// sink takes what a prefix holds.
+// sink takes the keys with one prefix.
 type sink interface {
+	prefix() string
 	// replace takes all keys, put and remove one change.
 	replace(entries []waxwingpick.Entry)
 	put(e waxwingpick.Entry)
 	remove(key string)
-	// lost and back tell of outages; changed follows each series of changes.
+	// lost tells of an outage of the service, back of its return at a time.
 	lost()
-	back()
+	back(at time.Time)
+	// changed follows each series of changes.
 	changed()
 }
 
-// follow keeps a sink up to date with a prefix until the process ends.
-func (p *Process) follow(prefix string, pause time.Duration, s sink) {
-	watch := dependency.New("keyValue "+prefix, p.timers, p.log)
+// follower keeps sinks up to date with the key-value service, by its own calls or by what other gateways tell.
+type follower struct {
+	process *Process
+	sinks   []sink
+	// told is called when there is something new for the other gateways.
+	told func(now time.Time)
+	// watch tells of outages that this process's own calls met.
+	watch *dependency.Dependency
+
+	mu   sync.Mutex
+	feed *feed.Feed
+	mode feed.Mode
+	// returned is the last return of the service that the sinks were told of.
+	returned time.Time
+}
+
+func newFollower(p *Process, sinks ...sink) *follower {
+	jitter := time.Duration(newRandom().Int64N(int64(feed.Jitter)))
+	return &follower{
+		process: p,
+		sinks:   sinks,
+		told:    func(time.Time) {},
+		watch:   dependency.New("keyValue", p.timers, p.log),
+		feed:    feed.New(p.options.Instance, p.options.Zone, jitter),
+	}
+}
+
+// run reads changes whenever this process has to, until it ends.
+func (f *follower) run() {
+	p := f.process
 	random := newRandom()
-	revision := int64(0)
-	known := false
 	retry := leastRetry
 	for p.lifecycle.Err() == nil {
-		var err error
-		if known {
-			revision, err = p.takeChanges(prefix, revision, s)
-		} else {
-			revision, err = p.takeSnapshot(prefix, s)
+		if f.look(p.timers.Now()) == feed.ModeHears {
+			retry = leastRetry
+			timer.Sleep(p.lifecycle, p.timers, idlePause)
+			continue
 		}
-		watch.Observe(err)
+		err := f.read()
+		f.watch.Observe(err)
 		switch {
 		case err == nil:
-			known = true
 			retry = leastRetry
-			timer.Sleep(p.lifecycle, p.timers, pause)
+			timer.Sleep(p.lifecycle, p.timers, watchPause)
 			continue
 		case errors.Is(err, waxwingpick.ErrHistoryGone):
-			p.log.WithFields(logrus.Fields{
-				"prefix": prefix,
-				"after":  revision,
-			}).Info("history is gone: all keys are read again")
-			known = false
+			p.log.Info("history is gone: all keys are read again")
 		default:
-			s.lost()
+			f.failed()
 		}
 		timer.Sleep(p.lifecycle, p.timers, retry/2+time.Duration(random.Int64N(int64(retry))))
 		retry = min(mostRetry, 2*retry)
 	}
 }
 
-func (p *Process) takeSnapshot(prefix string, s sink) (int64, error) {
-	entries, revision, err := p.options.Feed.Snapshot(p.lifecycle, prefix)
-	if err != nil {
-		return 0, err
+// look returns how this process learns of changes now, and logs where that is new.
+func (f *follower) look(now time.Time) feed.Mode {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	mode := f.feed.Mode(now)
+	age := f.feed.Age(now)
+	f.process.options.Metrics.Feed(mode == feed.ModeReads, age)
+	if mode != f.mode {
+		f.mode = mode
+		f.process.log.WithFields(logrus.Fields{
+			"mode":      mode.String(),
+			"revision":  f.feed.Revision(),
+			"ageMillis": age.Milliseconds(),
+		}).Info("feed of changes")
+	}
+	return mode
+}
+
+// read makes one call for changes, or reads all keys where the process can't go on from what it knows.
+func (f *follower) read() error {
+	p := f.process
+	f.mu.Lock()
+	known, after := f.feed.Known(), f.feed.Revision()
+	f.mu.Unlock()
+	if !known {
+		entries, revision, err := p.options.Feed.Snapshot(p.lifecycle, p.options.Catalog.Prefix)
+		if err != nil {
+			return err
+		}
+		f.takeSnapshot(entries, revision)
+		return nil
 	}
-	s.back()
-	s.replace(entries)
-	s.changed()
-	return revision, nil
-}
-
-func (p *Process) takeChanges(prefix string, after int64, s sink) (int64, error) {
-	changes, revision, err := p.options.Feed.Changes(p.lifecycle, prefix, after, watchWait)
+	changes, revision, err := p.options.Feed.Changes(p.lifecycle, p.options.Catalog.Prefix, after, watchWait)
 	if err != nil {
-		return after, err
-	}
-	s.back()
-	for _, c := range changes {
-		if c.Removed {
-			s.remove(c.Key)
-			continue
+		if errors.Is(err, waxwingpick.ErrHistoryGone) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.feed.HistoryGone()
 		}
-		s.put(c.Entry)
+		return err
 	}
-	if len(changes) > 0 {
-		s.changed()
+	if f.takeChanges(after, changes, revision) {
+		f.told(p.timers.Now())
 	}
-	return revision, nil
-}
-
-// routesSink puts configurations in force.
-type routesSink struct {
-	process *Process
+	return nil
 }
 
-func (s *routesSink) replace(entries []waxwingpick.Entry) {
-	for _, e := range entries {
-		s.put(e)
-	}
-}
-
-func (s *routesSink) put(e waxwingpick.Entry) {
-	p := s.process
-	t, ok, err := p.options.Catalog.Routes(e)
-	if err != nil {
-		p.log.WithFields(logrus.Fields{
-			"revision": e.Revision,
-			"error":    err.Error(),
-		}).Warn("configuration not taken: the former one stays")
+func (f *follower) takeSnapshot(entries []waxwingpick.Entry, revision int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.process.timers.Now()
+	if !f.feed.TakeSnapshot(now, entries, revision) {
 		return
 	}
-	if ok {
-		p.apply(t, e.Revision)
-	}
-}
-
-// apply puts a configuration in force, unless a newer one is.
-func (p *Process) apply(t *routetable.Table, revision int64) {
-	if before := p.table.Load(); before != nil && before.Version() >= t.Version() {
-		return
+	f.settle(now)
+	for _, s := range f.sinks {
+		var own []waxwingpick.Entry
+		for _, e := range entries {
+			if strings.HasPrefix(e.Key, s.prefix()) {
+				own = append(own, e)
+			}
+		}
+		s.replace(own)
+		s.changed()
 	}
-	p.table.Store(t)
-	p.options.Metrics.Version(t.Version())
-	p.log.WithFields(logrus.Fields{
-		"version":  t.Version(),
-		"revision": revision,
-	}).Info("configuration in force")
-	p.updateServices()
 }
 
-// remove changes nothing: a configuration stays in force until another one is accepted.
-func (s *routesSink) remove(string) {}
-func (s *routesSink) lost()         {}
-func (s *routesSink) back()         {}
-func (s *routesSink) changed()      {}
-
-// targetsSink keeps the list of targets.
-type targetsSink struct {
-	process *Process
+// takeChanges takes the service's answer and reports whether anything in it was new.
+func (f *follower) takeChanges(after int64, changes []waxwingpick.KeyChange, revision int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.process.timers.Now()
+	news := f.feed.TakeChanges(now, after, changes, revision)
+	f.settle(now)
+	f.apply(news)
+	return len(news) > 0
 }
 
-func (s *targetsSink) replace(entries []waxwingpick.Entry) {
-	p := s.process
-	now := p.timers.Now()
-	targets := make([]waxwingpick.Target, 0, len(entries))
-	for _, e := range entries {
-		if t, ok := s.read(e); ok {
-			targets = append(targets, t)
-		}
+// hear takes what another gateway told.
+func (f *follower) hear(now time.Time, n feed.News) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	age := f.feed.Age(now)
+	news := f.feed.Heard(now, n)
+	if f.feed.Age(now) < age {
+		f.settle(now)
 	}
-	p.listMu.Lock()
-	defer p.listMu.Unlock()
-	p.list.Replace(now, targets)
-	p.listed = true
+	f.apply(news)
 }
 
-func (s *targetsSink) put(e waxwingpick.Entry) {
-	p := s.process
-	t, ok := s.read(e)
-	if !ok {
-		s.remove(e.Key)
-		return
+// news returns what other gateways are to be told; false where this one does not read changes.
+func (f *follower) news(now time.Time) (feed.News, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.mode != feed.ModeReads {
+		return feed.News{}, false
 	}
-	p.listMu.Lock()
-	defer p.listMu.Unlock()
-	p.list.Put(t)
-}
-
-func (s *targetsSink) remove(key string) {
-	p := s.process
-	p.listMu.Lock()
-	defer p.listMu.Unlock()
-	p.list.Remove(p.timers.Now(), p.options.Catalog.TargetID(key))
+	return f.feed.News(now)
 }
 
-// read decodes an entry; one that names no target to use is logged and left out.
-func (s *targetsSink) read(e waxwingpick.Entry) (waxwingpick.Target, bool) {
-	t, err := s.process.options.Catalog.Target(e)
-	if err != nil {
-		s.process.log.WithFields(logrus.Fields{
-			"key":      e.Key,
-			"revision": e.Revision,
-			"error":    err.Error(),
-		}).Warn("entry of the list not taken")
+// settle tells the sinks that the service answers, and of an outage that this process itself did not see.
+func (f *follower) settle(now time.Time) {
+	at := now
+	returned := f.feed.Returned()
+	unseen := returned.After(f.returned)
+	if unseen {
+		f.returned = returned
+		at = returned
+	}
+	for _, s := range f.sinks {
+		if unseen {
+			s.lost()
+		}
+		s.back(at)
 	}
-	return t, err == nil
-}
-
-func (s *targetsSink) lost() {
-	s.process.listMu.Lock()
-	defer s.process.listMu.Unlock()
-	s.process.list.Lost()
-}
-
-func (s *targetsSink) back() {
-	s.process.listMu.Lock()
-	defer s.process.listMu.Unlock()
-	s.process.list.Back(s.process.timers.Now())
-}
-
-func (s *targetsSink) changed() {
-	s.process.updateServices()
 }
 
-// expireTargets drops the targets whose entries did not come back after an outage.
-func (p *Process) expireTargets(now time.Time) {
-	p.listMu.Lock()
-	dropped := p.list.Expire(now)
-	p.listMu.Unlock()
-	if dropped {
-		p.updateServices()
+// failed notes that the service did not answer.
+func (f *follower) failed() {
+	f.mu.Lock()
+	f.feed.Failed()
+	for _, s := range f.sinks {
+		s.lost()
 	}
+	f.mu.Unlock()
+	f.told(f.process.timers.Now())
 }
 
-// updateServices hands each service its targets.
-func (p *Process) updateServices() {
-	table := p.table.Load()
-	if table == nil {
-		return
-	}
-	p.listMu.Lock()
-	defer p.listMu.Unlock()
-	byService := make(map[waxwingpick.ServiceName][]waxwingpick.Target)
-	for _, t := range p.list.Targets() {
-		byService[t.Service] = append(byService[t.Service], t)
-	}
-	p.servicesMu.Lock()
-	defer p.servicesMu.Unlock()
-	for _, name := range table.Services() {
-		s, ok := p.services[name]
-		if !ok {
-			s = newService(name, p.options)
-			if n := int(p.gateways.Load()); n > 0 {
-				s.setGateways(p.timers.Now(), n)
+// apply hands changes to the sinks.
+func (f *follower) apply(changes []waxwingpick.KeyChange) {
+	for _, s := range f.sinks {
+		some := false
+		for _, c := range changes {
+			switch {
+			case !strings.HasPrefix(c.Key, s.prefix()):
+				continue
+			case c.Removed:
+				s.remove(c.Key)
+			default:
+				s.put(c.Entry)
 			}
-			p.services[name] = s
+			some = true
 		}
-		known, _ := table.Service(name)
-		s.update(byService[name], known)
-		leaving := 0
-		for _, t := range byService[name] {
-			if t.Leaving {
-				leaving++
-			}
+		if some {
+			s.changed()
 		}
-		p.options.Metrics.Targets(name, len(byService[name])-leaving, leaving)
-	}
-	if p.listed {
-		p.known.Store(true)
 	}
 }
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -1,36 +1,22 @@
 package gateway
 
 import (
-	"context"
-	"errors"
-	"fmt"
-	"slices"
 	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
-	"github.com/sirupsen/logrus"
 
 	"waxwingpick"
+	"waxwingpick/core/feed"
 	"waxwingpick/core/placement"
 )
 
 const (
-	// peersPrefix begins the keys under which gateways tell their addresses to each other.
-	peersPrefix = "waxwingpick/gateway/"
-	// peerLease is how long a gateway that ended stays listed.
-	peerLease = 12 * time.Second
-	// peerPeriod is the time between two renewals of the own entry and two looks at the others.
-	peerPeriod = 3 * time.Second
 	// tellPeriod is the time between two summaries in a small fleet: the load at an engine changes by one request in
 	// about as long.
 	tellPeriod = 40 * time.Millisecond
 	// tellRate bounds the messages that a gateway sends a second; in a large fleet summaries are rarer.
 	tellRate = 200
-	// maxGateways bounds the gateways that are told.
-	maxGateways = 1024
-	// storeTime bounds a call for the list of gateways.
-	storeTime = 2 * time.Second
 )
 
 // message is what a gateway tells another one.
@@ -41,111 +27,49 @@
 	Crashes  []crashReport
 }
 
-// gossip exchanges summaries of load among gateways. It only improves choices: without it each gateway knows its own
-// requests alone.
+// gossip exchanges summaries of load among gateways, and passes on what those that read the key-value service tell the
+// others. Without it each gateway knows its own requests alone, and reads the service by itself.
 type gossip struct {
-	process *Process
-	link    waxwingpick.PeerLink
-	kv      waxwingpick.KeyValue
-	addr    string
+	process  *Process
+	link     waxwingpick.PeerLink
+	peers    *peers
+	follower *follower
+	own      *registration
 
-	mu    sync.Mutex
-	peers []string
-	lease waxwingpick.LeaseID
-	told  time.Time
+	mu   sync.Mutex
+	told time.Time
 }
 
 func newGossip(p *Process) *gossip {
-	return &gossip{
+	own := newRegistration(p)
+	g := &gossip{
 		process: p,
 		link:    p.options.Peers,
-		kv:      p.options.KeyValue,
-		addr:    p.options.PeerAddr,
+		own:     own,
+		peers:   newPeers(p, p.options.PeerAddr, own.lapsed),
 	}
+	p.crashes.push = g.send
+	return g
 }
 
-// start exchanges summaries until the process ends.
+// start exchanges messages until the process ends.
 func (g *gossip) start() {
 	p := g.process
-	p.crashes.push = g.send
+	g.follower.told = g.tellNews
 	p.loops.Go(func() {
 		g.link.Receive(g.take)
 	})
-	p.loops.Go(func() {
-		g.look(p.timers.Now())
-	})
 	p.stops = append(p.stops,
-		p.timers.Every(peerPeriod, g.look),
+		p.timers.Every(registerCheck, g.own.look),
+		p.timers.Every(peerGrace, g.peers.expire),
+		p.timers.Every(feed.TellPeriod, g.tellNews),
 		p.timers.Every(tellPeriod, g.tell))
 }
 
-// look renews the own entry and reads those of the others.
-func (g *gossip) look(time.Time) {
-	ctx, cancel := context.WithTimeout(g.process.lifecycle, storeTime)
-	defer cancel()
-	if err := g.register(ctx); err != nil {
-		g.process.log.WithField("error", err.Error()).Debug("own address not listed for other gateways")
-	}
-	entries, err := g.kv.List(ctx, peersPrefix, maxGateways)
-	if err != nil {
-		g.process.log.WithField("error", err.Error()).Debug("list of gateways not read: the former one stays")
-		return
-	}
-	var peers []string
-	for _, e := range entries {
-		if addr := string(e.Value); addr != g.addr {
-			peers = append(peers, addr)
-		}
-	}
-	g.mu.Lock()
-	changed := !slices.Equal(g.peers, peers)
-	g.peers = peers
-	g.mu.Unlock()
-	g.process.setGateways(g.process.timers.Now(), 1+len(peers))
-	g.process.options.Metrics.Peers(len(peers))
-	if changed {
-		g.process.log.WithFields(logrus.Fields{
-			"gateways": len(peers),
-		}).Info("other gateways")
-	}
-}
-
-// register lists the own address under a lease.
-func (g *gossip) register(ctx context.Context) error {
-	g.mu.Lock()
-	lease := g.lease
-	g.mu.Unlock()
-	if lease != 0 {
-		_, err := g.kv.KeepAlive(ctx, lease)
-		switch {
-		case err == nil:
-			return nil
-		case !errors.Is(err, waxwingpick.ErrLeaseExpired):
-			return fmt.Errorf("renew own address: %w", err)
-		}
-	}
-	lease, err := g.kv.Grant(ctx, peerLease)
-	if err != nil {
-		return fmt.Errorf("list own address: %w", err)
-	}
-	key := peersPrefix + string(g.process.options.Instance)
-	before, err := g.kv.Get(ctx, key)
-	if err != nil {
-		return fmt.Errorf("list own address: %w", err)
-	}
-	if _, err := g.kv.CompareAndSwap(ctx, key, before.Revision, []byte(g.addr), lease); err != nil {
-		return fmt.Errorf("list own address: %w", err)
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.lease = lease
-	return nil
-}
-
 // tell sends the own summary to the others, less often where they are many.
 func (g *gossip) tell(now time.Time) {
 	g.mu.Lock()
-	due := now.Sub(g.told) >= time.Duration(len(g.peers))*time.Second/tellRate
+	due := now.Sub(g.told) >= time.Duration(g.peers.count())*time.Second/tellRate
 	g.mu.Unlock()
 	if due {
 		g.send(now)
@@ -154,8 +78,8 @@
 
 // send sends the own summary to the others now.
 func (g *gossip) send(now time.Time) {
+	peers := g.peers.all()
 	g.mu.Lock()
-	peers := g.peers
 	g.told = now
 	g.mu.Unlock()
 	if len(peers) == 0 {
@@ -176,15 +100,51 @@
 		g.process.log.WithField("error", err.Error()).Error("summary not encoded")
 		return
 	}
+	g.sendAll(peers, encoded)
+}
+
+// tellNews tells the gateways of the own availability zone what the key-value service told this one.
+func (g *gossip) tellNews(now time.Time) {
+	peers := g.peers.near()
+	if len(peers) == 0 {
+		return
+	}
+	news, ok := g.follower.news(now)
+	if !ok {
+		return
+	}
+	encoded, err := encodeNews(news)
+	if err != nil {
+		g.process.log.WithField("error", err.Error()).Error("news not encoded")
+		return
+	}
+	g.sendAll(peers, encoded)
+}
+
+func (g *gossip) sendAll(peers []string, message []byte) {
 	for _, addr := range peers {
-		if err := g.link.Send(addr, encoded); err != nil {
-			g.process.log.WithField("error", err.Error()).Debug("summary not sent")
+		if err := g.link.Send(addr, message); err != nil {
+			g.process.log.WithField("error", err.Error()).Debug("message to another gateway not sent")
 		}
 	}
 }
 
-// take takes the summary of another gateway.
+// take takes a message of another gateway.
 func (g *gossip) take(encoded []byte) {
+	if len(encoded) > 0 && encoded[0] == newsKind {
+		news, err := decodeNews(encoded)
+		if err != nil {
+			g.process.log.WithField("error", err.Error()).Debug("news not taken")
+			return
+		}
+		g.follower.hear(g.process.timers.Now(), news)
+		return
+	}
+	g.takeSummary(encoded)
+}
+
+// takeSummary takes the summary of another gateway.
+func (g *gossip) takeSummary(encoded []byte) {
 	var m message
 	if err := cbor.Unmarshal(encoded, &m); err != nil || m.From == "" || m.From == g.process.options.Instance {
 		return
--- a/internal/gateway/options.go
+++ b/internal/gateway/options.go
@@ -17,7 +17,8 @@
 
 // Catalog decodes what the key-value service tells of routes and targets.
 type Catalog struct {
-	// RoutesPrefix and TargetsPrefix begin the keys of the configuration and of the targets.
+	// Prefix begins all keys that are followed, RoutesPrefix and TargetsPrefix those of the configuration and of the targets.
+	Prefix        string
 	RoutesPrefix  string
 	TargetsPrefix string
 	// Routes decodes a configuration; ok is false for a key that holds none.
--- /dev/null
+++ b/internal/gateway/peers_test.go
@@ -0,0 +1,113 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"waxwingpick"
+	"waxwingpick/core/timer"
+	"waxwingpick/internal/standin/memkv"
+)
+
+func entryOf(key, addr string) waxwingpick.Entry {
+	return waxwingpick.Entry{
+		Key:      key,
+		Value:    []byte(addr),
+		Revision: 1,
+	}
+}
+
+func newTestPeers(t *testing.T) (*peers, *timer.Manual, *int) {
+	p, clock := newProcess(t, unused{})
+	p.options.Zone = "a"
+	unlisted := 0
+	return newPeers(p, "10.0.0.1:1", func() { unlisted++ }), clock, &unlisted
+}
+
+func TestPeersAreKnownByTheirZones(t *testing.T) {
+	s, _, _ := newTestPeers(t)
+	s.replace([]waxwingpick.Entry{
+		entryOf(peerKey("a", "gateway"), "10.0.0.1:1"),
+		entryOf(peerKey("a", "near"), "10.0.0.2:1"),
+		entryOf(peerKey("b", "far"), "10.0.0.3:1"),
+		// A gateway of a former version doesn't tell its zone.
+		entryOf(peersPrefix+"former", "10.0.0.4:1"),
+	})
+	s.changed()
+	require.Equal(t, []string{"10.0.0.2:1", "10.0.0.3:1", "10.0.0.4:1"}, s.all())
+	require.Equal(t, []string{"10.0.0.2:1"}, s.near())
+	require.EqualValues(t, 4, s.process.gateways.Load())
+}
+
+// TestPeersOutliveALapseOfTheirEntries has entries go with an outage: those that are back soon were never gone.
+func TestPeersOutliveALapseOfTheirEntries(t *testing.T) {
+	s, clock, unlisted := newTestPeers(t)
+	all := []waxwingpick.Entry{
+		entryOf(peerKey("a", "gateway"), "10.0.0.1:1"),
+		entryOf(peerKey("a", "back"), "10.0.0.2:1"),
+		entryOf(peerKey("a", "gone"), "10.0.0.3:1"),
+	}
+	s.replace(all)
+	s.replace(nil)
+	require.Len(t, s.all(), 2)
+	clock.Advance(peerGrace / 2)
+	s.put(all[1])
+	clock.Advance(peerGrace)
+	s.expire(clock.Now())
+	require.Equal(t, []string{"10.0.0.2:1"}, s.all())
+	s.remove(all[0].Key)
+	require.Equal(t, 1, *unlisted)
+}
+
+func TestPeersAreBounded(t *testing.T) {
+	s, _, _ := newTestPeers(t)
+	for i := range maxPeers + 10 {
+		s.put(entryOf(peersPrefix+time.Duration(i).String(), time.Duration(i).String()))
+	}
+	require.Equal(t, maxPeers, s.count())
+}
+
+// TestOwnAddressStaysListed follows the own entry through a restart, a lapse and an outage of the service.
+func TestOwnAddressStaysListed(t *testing.T) {
+	p, clock := newProcess(t, unused{})
+	kv := memkv.New(clock)
+	client := kv.Client()
+	p.options.Zone = "a"
+	p.options.KeyValue = client
+	p.options.PeerAddr = "10.0.0.1:1"
+	r := newRegistration(p)
+	listed := func() string {
+		e, err := client.Get(context.Background(), peerKey("a", "gateway"))
+		require.NoError(t, err)
+		return string(e.Value)
+	}
+	// The entry of the process before it is still there.
+	_, err := client.CompareAndSwap(context.Background(), r.key, 0, []byte("10.0.0.9:1"), 0)
+	require.NoError(t, err)
+	pass := func(d time.Duration) {
+		for range d / registerCheck {
+			clock.Advance(registerCheck)
+			r.look(clock.Now())
+		}
+	}
+	pass(registerCheck)
+	require.Equal(t, "10.0.0.1:1", listed())
+	pass(10 * peerLease)
+	require.Equal(t, "10.0.0.1:1", listed())
+	require.LessOrEqual(t, kv.Calls(waxwingpick.CallKeepAlive), int64(10*peerLease/renewPeriod))
+
+	require.True(t, kv.LapseKey(r.key))
+	require.Empty(t, listed())
+	r.lapsed()
+	pass(registerCheck)
+	require.Equal(t, "10.0.0.1:1", listed())
+
+	kv.SetDown(true)
+	pass(2 * peerLease)
+	kv.SetDown(false)
+	pass(registerRetry + registerCheck)
+	require.Equal(t, "10.0.0.1:1", listed())
+}
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -83,20 +83,23 @@
 
 // Start follows the configuration and the targets until Stop.
 func (p *Process) Start() {
-	p.loops.Go(func() {
-		p.follow(p.options.Catalog.RoutesPrefix, routesPause, &routesSink{
+	sinks := []sink{
+		&routesSink{
 			process: p,
-		})
-	})
-	p.loops.Go(func() {
-		p.follow(p.options.Catalog.TargetsPrefix, targetsPause, &targetsSink{
+		},
+		&targetsSink{
 			process: p,
-		})
-	})
+		},
+	}
 	p.stops = append(p.stops, p.timers.Every(expiryPeriod, p.expireTargets))
 	if p.options.Peers != nil {
-		newGossip(p).start()
+		g := newGossip(p)
+		g.follower = newFollower(p, append(sinks, g.peers)...)
+		p.loops.Go(g.follower.run)
+		g.start()
+		return
 	}
+	p.loops.Go(newFollower(p, sinks...).run)
 }
 
 // Drain turns readiness off and waits until no request runs, or ctx ends.
--- /dev/null
+++ b/internal/gateway/sinks.go
@@ -0,0 +1,180 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"waxwingpick"
+	"waxwingpick/core/routetable"
+)
+
+// routesSink puts configurations in force.
+type routesSink struct {
+	process *Process
+}
+
+func (s *routesSink) prefix() string {
+	return s.process.options.Catalog.RoutesPrefix
+}
+
+func (s *routesSink) replace(entries []waxwingpick.Entry) {
+	for _, e := range entries {
+		s.put(e)
+	}
+}
+
+func (s *routesSink) put(e waxwingpick.Entry) {
+	p := s.process
+	t, ok, err := p.options.Catalog.Routes(e)
+	if err != nil {
+		p.log.WithFields(logrus.Fields{
+			"revision": e.Revision,
+			"error":    err.Error(),
+		}).Warn("configuration not taken: the former one stays")
+		return
+	}
+	if ok {
+		p.apply(t, e.Revision)
+	}
+}
+
+// apply puts a configuration in force, unless a newer one is.
+func (p *Process) apply(t *routetable.Table, revision int64) {
+	if before := p.table.Load(); before != nil && before.Version() >= t.Version() {
+		return
+	}
+	p.table.Store(t)
+	p.options.Metrics.Version(t.Version())
+	p.log.WithFields(logrus.Fields{
+		"version":  t.Version(),
+		"revision": revision,
+	}).Info("configuration in force")
+	p.updateServices()
+}
+
+// remove changes nothing: a configuration stays in force until another one is accepted.
+func (s *routesSink) remove(string)  {}
+func (s *routesSink) lost()          {}
+func (s *routesSink) back(time.Time) {}
+func (s *routesSink) changed()       {}
+
+// targetsSink keeps the list of targets.
+type targetsSink struct {
+	process *Process
+}
+
+func (s *targetsSink) prefix() string {
+	return s.process.options.Catalog.TargetsPrefix
+}
+
+func (s *targetsSink) replace(entries []waxwingpick.Entry) {
+	p := s.process
+	now := p.timers.Now()
+	targets := make([]waxwingpick.Target, 0, len(entries))
+	for _, e := range entries {
+		if t, ok := s.read(e); ok {
+			targets = append(targets, t)
+		}
+	}
+	p.listMu.Lock()
+	defer p.listMu.Unlock()
+	p.list.Replace(now, targets)
+	p.listed = true
+}
+
+func (s *targetsSink) put(e waxwingpick.Entry) {
+	p := s.process
+	t, ok := s.read(e)
+	if !ok {
+		s.remove(e.Key)
+		return
+	}
+	p.listMu.Lock()
+	defer p.listMu.Unlock()
+	p.list.Put(t)
+}
+
+func (s *targetsSink) remove(key string) {
+	p := s.process
+	p.listMu.Lock()
+	defer p.listMu.Unlock()
+	p.list.Remove(p.timers.Now(), p.options.Catalog.TargetID(key))
+}
+
+// read decodes an entry; one that names no target to use is logged and left out.
+func (s *targetsSink) read(e waxwingpick.Entry) (waxwingpick.Target, bool) {
+	t, err := s.process.options.Catalog.Target(e)
+	if err != nil {
+		s.process.log.WithFields(logrus.Fields{
+			"key":      e.Key,
+			"revision": e.Revision,
+			"error":    err.Error(),
+		}).Warn("entry of the list not taken")
+	}
+	return t, err == nil
+}
+
+func (s *targetsSink) lost() {
+	s.process.listMu.Lock()
+	defer s.process.listMu.Unlock()
+	s.process.list.Lost()
+}
+
+func (s *targetsSink) back(at time.Time) {
+	s.process.listMu.Lock()
+	defer s.process.listMu.Unlock()
+	s.process.list.Back(at)
+}
+
+func (s *targetsSink) changed() {
+	s.process.updateServices()
+}
+
+// expireTargets drops the targets whose entries did not come back after an outage.
+func (p *Process) expireTargets(now time.Time) {
+	p.listMu.Lock()
+	dropped := p.list.Expire(now)
+	p.listMu.Unlock()
+	if dropped {
+		p.updateServices()
+	}
+}
+
+// updateServices hands each service its targets.
+func (p *Process) updateServices() {
+	table := p.table.Load()
+	if table == nil {
+		return
+	}
+	p.listMu.Lock()
+	defer p.listMu.Unlock()
+	byService := make(map[waxwingpick.ServiceName][]waxwingpick.Target)
+	for _, t := range p.list.Targets() {
+		byService[t.Service] = append(byService[t.Service], t)
+	}
+	p.servicesMu.Lock()
+	defer p.servicesMu.Unlock()
+	for _, name := range table.Services() {
+		s, ok := p.services[name]
+		if !ok {
+			s = newService(name, p.options)
+			if n := int(p.gateways.Load()); n > 0 {
+				s.setGateways(p.timers.Now(), n)
+			}
+			p.services[name] = s
+		}
+		known, _ := table.Service(name)
+		s.update(byService[name], known)
+		leaving := 0
+		for _, t := range byService[name] {
+			if t.Leaving {
+				leaving++
+			}
+		}
+		p.options.Metrics.Targets(name, len(byService[name])-leaving, leaving)
+	}
+	if p.listed {
+		p.known.Store(true)
+	}
+}
--- a/io/prometheus/gateway.go
+++ b/io/prometheus/gateway.go
@@ -28,6 +28,8 @@
 	version    client.Gauge
 	peers      client.Gauge
 	sharing    client.Gauge
+	feedReads  client.Gauge
+	feedAge    client.Gauge
 	targets    *client.GaugeVec
 }
 
@@ -45,10 +47,13 @@
 		version:    single("gateway_routes_version", "Version of the configuration in force."),
 		peers:      single("gateway_peers", "Other gateways that load is told to."),
 		sharing:    single("gateway_sharing", "Gateways that share the retry budget; zero as long as their number is not known."),
+		feedReads:  single("gateway_feed_reads", "1 where changes are read from the key-value service, 0 where other gateways tell them."),
+		feedAge:    single("gateway_feed_age_seconds", "Time since it was last known that no change is missing."),
 		targets:    gauge("gateway_targets", "Targets of the platform's list by state.", "service", "state"),
 	}
 	for _, c := range []client.Collector{
-		g.requests, g.answers, g.firstEvent, g.refused, g.retries, g.attempts, g.running, g.version, g.peers, g.sharing, g.targets,
+		g.requests, g.answers, g.firstEvent, g.refused, g.retries, g.attempts, g.running, g.version, g.peers, g.sharing,
+		g.feedReads, g.feedAge, g.targets,
 	} {
 		if err := g.registry.Register(c); err != nil {
 			return nil, fmt.Errorf("register metrics: %w", err)
@@ -120,6 +125,15 @@
 	g.sharing.Set(float64(n))
 }
 
+// Feed sets whether changes are read from the key-value service, and since when none is known to be missing.
+func (g *Gateway) Feed(reads bool, age time.Duration) {
+	g.feedReads.Set(0)
+	if reads {
+		g.feedReads.Set(1)
+	}
+	g.feedAge.Set(age.Seconds())
+}
+
 // Targets sets the targets of a service that take requests and those that leave.
 func (g *Gateway) Targets(service waxwingpick.ServiceName, ready, leaving int) {
 	label := g.services.label(string(service))
