feed: a relay that was cut off alone has seen no outage of the store

Relays told when the store returned for them; those that had been cut off themselves told it too, one after the other, and each time all gateways of their zone held removals of targets back for 1.9 s more. Log of front-at-ost-b-2: returns at 13.48, 13.87, 14.18 and 14.91 s, a removal of 13.71 s in force at 16.81 s. Ruled out: news that came late (front-at-ost-b-2 was at revision 136 at 15.16 s).

Change: a return counts where this process neither reaches the store nor heard of anyone who did; a process that was cut off is back when it hears a relay; what a relay tells of its reach is that of its own calls.

--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -15,6 +15,8 @@
 	TellPeriod = 250 * time.Millisecond
 	// silence is how long a relay counts after its last message; some of these may be lost.
 	silence = 800 * time.Millisecond
+	// answerKept is how long an answer of the service shows that this process reaches it: longer than a call for changes waits.
+	answerKept = 2 * time.Second
 	// gapPatience is how long a process waits for missing changes to be told again before it reads them itself.
 	gapPatience = 300 * time.Millisecond
 	// Jitter spreads processes that stop hearing their relays at the same moment.
@@ -81,11 +83,15 @@
 	keys map[string]int64
 	tail tail
 
+	// touch says that the service answered this process's last call, away that nobody it hears has reached it since one failed.
 	touch bool
+	away  bool
 	// untouched counts the messages that told of an outage.
 	untouched int
 	returned  time.Time
 	heard     time.Time
+	// answeredAt is when the service last answered this process.
+	answeredAt time.Time
 	// gap is when a message first did not continue the own revision, gapBase what it continued.
 	gap     time.Time
 	gapBase int64
@@ -151,13 +157,21 @@
 // Failed notes that the service did not answer this process.
 func (f *Feed) Failed() {
 	f.touch = false
+	f.away = true
 }
 
 // answered notes that the service answered this process.
 func (f *Feed) answered(now time.Time) {
-	if !f.touch {
-		f.touch = true
-		f.untouched = 0
+	f.touch = true
+	f.untouched = 0
+	f.answeredAt = now
+	f.reached(now)
+}
+
+// reached notes that the service answers, this process or a relay that it hears.
+func (f *Feed) reached(now time.Time) {
+	if f.away {
+		f.away = false
 		f.returned = now
 	}
 	f.heard = now
@@ -221,15 +235,22 @@
 		}
 		return nil
 	}
-	f.heard = now
 	if ago, ok := n.Returned.Get(); ok {
-		if at := now.Add(-ago); at.After(f.returned) {
-			f.returned = at
-		}
+		f.learnReturn(now, now.Add(-ago))
 	}
+	f.reached(now)
 	return f.take(n.Changes, n.Revision)
 }
 
+// learnReturn takes that the service returned for another process. It was away for this one only if nobody reached it
+// shortly before: the other may have been cut off alone.
+func (f *Feed) learnReturn(now, at time.Time) {
+	reads := f.touch && now.Sub(f.answeredAt) < answerKept
+	if !reads && at.Sub(f.heard) > silence && at.After(f.returned) {
+		f.returned = at
+	}
+}
+
 // Returned returns when the service last returned from an outage, as far as that is known; zero where it was never away.
 func (f *Feed) Returned() time.Time {
 	return f.returned
--- a/core/feed/world_test.go
+++ b/core/feed/world_test.go
@@ -37,6 +37,7 @@
 	Revision() int64
 	Mode(now time.Time) feed.Mode
 	Failed()
+	Returned() time.Time
 	HistoryGone()
 	TakeSnapshot(now time.Time, entries []waxwingpick.Entry, revision int64) bool
 	TakeChanges(now time.Time, after int64, changes []waxwingpick.KeyChange, revision int64) []waxwingpick.KeyChange
@@ -377,6 +378,13 @@
 		if w.now.Sub(n.harmed) < contact || w.now.Sub(w.unstable) < contact {
 			continue
 		}
+		disrupted := n.harmed
+		if w.unstable.After(disrupted) {
+			disrupted = w.unstable
+		}
+		if returned := n.feed.Returned().Add(n.slept); returned.After(disrupted.Add(contact)) {
+			return fmt.Errorf("%s takes the service to have been away until %v after it was last disrupted", n.id, returned.Sub(disrupted))
+		}
 		for _, a := range w.store.acked {
 			if w.now.Sub(a.at) > bound && n.state[configKey] < a.version {
 				return fmt.Errorf("%s has version %d, %v after %d was acknowledged", n.id, n.state[configKey], w.now.Sub(a.at), a.version)
