gateways: zones tell each other sums of load; the second leg of a prompt stays near

And the choice of the engine that fetches KV cache did not count its zone.

Change: the zone of the second leg counts as that of the first. Other zones hear of parts of 1,024 tokens and more. The age of what was told is a histogram.

--- a/core/placement/engine.go
+++ b/core/placement/engine.go
@@ -18,8 +18,8 @@
 	// served is when the newest of the requests began whose wait has ended.
 	served  time.Time
 	running int
-	// peers is what other processes have at the engine.
-	peers map[waxwingpick.InstanceID]peerLoad
+	// peers is what other processes of the zone, and other zones, have at the engine.
+	peers map[teller]peerLoad
 	// freed is when the engine last ended reading a prompt, or got one while it read none.
 	freed time.Time
 }
@@ -29,7 +29,7 @@
 		cache:   newCache(capacity),
 		memory:  newMemory(),
 		pending: make(map[*Leg]struct{}),
-		peers:   make(map[waxwingpick.InstanceID]peerLoad),
+		peers:   make(map[teller]peerLoad),
 	}
 }
 
@@ -54,15 +54,36 @@
 }
 
 func (e *engine) load(now time.Time) load {
+	return e.loadOf(now, func(teller) bool { return true })
+}
+
+// nearLoad is the load of the processes of the own availability zone.
+func (e *engine) nearLoad(now time.Time) load {
+	return e.loadOf(now, func(t teller) bool { return t.zone == "" })
+}
+
+// ages returns how old what was told of the engine is.
+func (e *engine) ages(now time.Time) []time.Duration {
+	var ages []time.Duration
+	for _, p := range e.peers {
+		if age := now.Sub(p.at); age <= summaryKept {
+			ages = append(ages, age)
+		}
+	}
+	return ages
+}
+
+// loadOf is the own load and that of some who told theirs.
+func (e *engine) loadOf(now time.Time, some func(t teller) bool) load {
 	all := load{
 		work:     e.ahead(now),
 		running:  e.running,
 		overdue:  e.overdue(now),
 		occupied: e.memory.taken,
 	}
-	for _, p := range e.peers {
+	for t, p := range e.peers {
 		age := now.Sub(p.at)
-		if age > summaryKept {
+		if age > summaryKept || !some(t) {
 			continue
 		}
 		all.work += max(0, p.work-age)
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -32,6 +32,8 @@
 	Ahead      time.Duration
 	Predicted  time.Duration
 	HeldTokens int
+	// Ages are how old what was told of the load at Run is, for each that told some.
+	Ages []time.Duration
 	// cost is Predicted with the time that the reading takes from requests that come later.
 	cost time.Duration
 }
@@ -47,6 +49,9 @@
 	prefill pace
 	decode  pace
 	reads   []told
+	// zoneReads are the reads of the whole zone that no digest has told, zones when the known digests of others were made.
+	zoneReads []Read
+	zones     map[waxwingpick.AvailabilityZone]time.Time
 	// resides is how long requests occupy memory at engines that generate.
 	resides residence
 	// readings is how often the reading of a prompt counts in its cost.
@@ -69,6 +74,7 @@
 	return &Fleet{
 		zone:     zone,
 		engines:  make(map[waxwingpick.TargetID]*engine),
+		zones:    make(map[waxwingpick.AvailabilityZone]time.Time),
 		readings: costReadings,
 		copies:   true,
 		resides: residence{
@@ -128,7 +134,9 @@
 	// room is the wait for memory behind requests that are at least as urgent, roomAll that behind all.
 	room    time.Duration
 	roomAll time.Duration
-	// cost is the wait with the reading as often as it counts, and more at an engine of another availability zone.
+	// far is what sending the request to an engine of another availability zone costs.
+	far time.Duration
+	// cost is the wait with the reading as often as it counts, and far.
 	cost time.Duration
 }
 
@@ -170,6 +178,7 @@
 			choice = split
 		}
 	}
+	choice.Ages = f.engines[choice.Run.ID].ages(now)
 	if now.Add(choice.Predicted + (aheadGrowth-1)*choice.Ahead).After(d.Deadline) {
 		return choice, waxwingpick.VerdictLate
 	}
@@ -213,7 +222,7 @@
 	best := Choice{}
 	for i, o := range runners {
 		rest := splitCost + f.transferTime(d.Parts.prompt-o.held, reader.engine.target, o.engine.target) + o.wait + o.silence + o.crowding()
-		cost := reader.cost + o.roomAll + rest
+		cost := reader.cost + o.roomAll + o.far + rest
 		if i == 0 || cost < best.cost {
 			best = Choice{
 				Run:        o.engine.target,
@@ -268,6 +277,7 @@
 		room:    f.resides.wait(all.upTo(d.Priority), need, f.traits.MemoryTokens),
 		roomAll: f.resides.wait(all.upTo(priorities-1), need, f.traits.MemoryTokens),
 		silence: all.overdue,
+		far:     far,
 		cost:    wait + all.overdue + time.Duration(f.readings)*read + f.stall(e, read) + far,
 	}
 }
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -454,3 +454,49 @@
 	require.Len(t, reads, 1)
 	require.Equal(t, []int{leastTold}, reads[0].Tokens)
 }
+
+// TestZonesHearOfEachOtherByDigests follows load and a read from one zone to another, through a process that sums up.
+func TestZonesHearOfEachOtherByDigests(t *testing.T) {
+	near, far := engineTarget("near", waxwingpick.RoleDecode), engineTarget("far", waxwingpick.RoleDecode)
+	here := func() *Fleet { return fleetOf(near, far) }
+	one, two, there := here(), here(), New("there")
+	there.SetTargets([]waxwingpick.Target{near, far}, traits())
+	d := demand("shared", 8000)
+	one.Begin(start, "near", d, false)
+	two.Begin(start, "near", demand("other", 8000), false)
+	two.Observe(start, "one", one.Summary(start))
+
+	at := start.Add(100 * time.Millisecond)
+	digest := two.Digest(start)
+	require.Len(t, digest.Engines, 1)
+	require.Equal(t, 2, digest.Engines[0].Running)
+	require.Len(t, digest.Reads, 2)
+	there.ObserveZone(at, "zone", 100*time.Millisecond, digest)
+	told := there.engines["near"].load(at)
+	require.Equal(t, 2, told.running)
+	require.Less(t, told.work, two.engines["near"].load(start).work, "what was told a while ago is partly read")
+	require.Equal(t, 8000, there.engines["near"].cache.held(d.Parts))
+	require.Equal(t, []time.Duration{100 * time.Millisecond}, there.engines["near"].ages(at))
+
+	// Another process of the zone sums up the same: it counts once. What is older than that does not count.
+	there.ObserveZone(at, "zone", 50*time.Millisecond, two.Digest(start))
+	require.Equal(t, 2, there.engines["near"].load(at).running)
+	there.ObserveZone(at, "zone", time.Second, Summary{})
+	require.Equal(t, 2, there.engines["near"].load(at).running)
+	there.ObserveZone(at, "there", 0, digest)
+	require.Equal(t, 2, there.engines["near"].load(at).running, "a zone knows its own")
+
+	// Digests tell nothing of other zones, and each read once.
+	require.Empty(t, there.Digest(at).Engines)
+	require.Empty(t, two.Digest(at).Reads)
+	two.Observe(at, "one", one.Summary(at))
+	require.Empty(t, two.Digest(at).Reads, "what a process told twice is told once")
+}
+
+func TestZonesAreBounded(t *testing.T) {
+	f := fleetOf(engineTarget("e", waxwingpick.RoleDecode))
+	for i := range 2 * mostZones {
+		f.ObserveZone(start, waxwingpick.AvailabilityZone(fmt.Sprint(i)), 0, Summary{})
+	}
+	require.Len(t, f.zones, mostZones)
+}
--- a/core/placement/summary.go
+++ b/core/placement/summary.go
@@ -24,6 +24,8 @@
 	_       struct{} `cbor:",toarray"`
 	Engines []EngineLoad
 	Reads   []Read
+	// Repeated is how many of the first reads were told before.
+	Repeated int
 }
 
 // EngineKey stands for a target's ID in summaries. Two targets with the same key would only seem to have each other's load.
@@ -61,7 +63,13 @@
 	left int
 }
 
-// peerLoad is what another process has at an engine.
+// teller is one process of the own availability zone, or all of another zone.
+type teller struct {
+	process waxwingpick.InstanceID
+	zone    waxwingpick.AvailabilityZone
+}
+
+// peerLoad is what another process, or another zone, has at an engine.
 type peerLoad struct {
 	work     time.Duration
 	running  int
@@ -80,10 +88,7 @@
 			WorkMillis:    e.ahead(now).Milliseconds(),
 			Running:       e.running,
 			OverdueMillis: e.overdue(now).Milliseconds(),
-			Occupied:      slices.Clone(e.memory.taken[:]),
-		}
-		for n := len(load.Occupied); n > 0 && load.Occupied[n-1] == 0; n-- {
-			load.Occupied = load.Occupied[:n-1]
+			Occupied:      upToLast(e.memory.taken),
 		}
 		if load.Running > 0 {
 			s.Engines = append(s.Engines, load)
@@ -93,6 +98,9 @@
 	for _, t := range f.reads {
 		if len(s.Reads) < mostReads {
 			s.Reads = append(s.Reads, t.read)
+			if t.left < readsTold {
+				s.Repeated++
+			}
 			t.left--
 		}
 		if t.left > 0 {
@@ -103,8 +111,61 @@
 	return s
 }
 
-// Observe takes what another process told.
+// Digest returns what the other zones are to know of all processes of the own one, as far as this process is told; it is to be
+// asked for periodically.
+func (f *Fleet) Digest(now time.Time) Summary {
+	var s Summary
+	for _, id := range f.order {
+		e := f.engines[id]
+		own := e.nearLoad(now)
+		if own.running == 0 {
+			continue
+		}
+		s.Engines = append(s.Engines, EngineLoad{
+			Engine:        KeyOf(id),
+			WorkMillis:    own.work.Milliseconds(),
+			Running:       own.running,
+			OverdueMillis: own.overdue.Milliseconds(),
+			Occupied:      upToLast(own.occupied),
+		})
+	}
+	s.Reads = f.zoneReads
+	f.zoneReads = nil
+	return s
+}
+
+// upToLast returns the tokens by priority up to the last that has any.
+func upToLast(tokens [priorities]int) []int {
+	n := len(tokens)
+	for n > 0 && tokens[n-1] == 0 {
+		n--
+	}
+	return slices.Clone(tokens[:n])
+}
+
+// Observe takes what another process of the own availability zone told.
 func (f *Fleet) Observe(now time.Time, peer waxwingpick.InstanceID, s Summary) {
+	f.observe(now, now, teller{
+		process: peer,
+	}, s)
+	for _, r := range s.Reads[within(s.Repeated, len(s.Reads)):] {
+		f.noteZoneRead(r)
+	}
+}
+
+// ObserveZone takes a digest of another availability zone that was made some time ago, unless a newer one is known.
+func (f *Fleet) ObserveZone(now time.Time, zone waxwingpick.AvailabilityZone, age time.Duration, s Summary) {
+	at := now.Add(-max(0, age))
+	if _, known := f.zones[zone]; zone == f.zone || at.Before(f.zones[zone]) || !known && len(f.zones) >= mostZones {
+		return
+	}
+	f.zones[zone] = at
+	f.observe(now, at, teller{
+		zone: zone,
+	}, s)
+}
+
+func (f *Fleet) observe(now, at time.Time, peer teller, s Summary) {
 	for _, id := range f.order {
 		delete(f.engines[id].peers, peer)
 	}
@@ -117,7 +178,7 @@
 			work:    toldTime(l.WorkMillis),
 			running: within(l.Running, mostRunning),
 			overdue: toldTime(l.OverdueMillis),
-			at:      now,
+			at:      at,
 		}
 		for rank, tokens := range l.Occupied[:min(len(l.Occupied), priorities)] {
 			p.occupied[rank] = within(tokens, mostTokens)
@@ -143,6 +204,8 @@
 const (
 	// mostTold bounds what another process may say that an engine is busy for: a few times what any request waits.
 	mostTold = time.Minute
+	// mostZones bounds the availability zones whose digests are known.
+	mostZones = 64
 	// mostRunning bounds the requests that another process may say it has at an engine: far more than engines have slots.
 	mostRunning = 1 << 20
 )
@@ -155,33 +218,54 @@
 // leastTold is the smallest part, in tokens, that others are told of: smaller ones are read again in a few milliseconds.
 const leastTold = 256
 
-// worthTelling returns a prompt's parts up to the last one that is large.
-func worthTelling(p Parts) Parts {
-	n := len(p.tokens)
-	for n > 0 && p.tokens[n-1] < leastTold {
+// worthTelling returns how many parts of a prompt there are up to the last one that has so many tokens.
+func worthTelling(tokens []int, least int) int {
+	n := len(tokens)
+	for n > 0 && tokens[n-1] < least {
 		n--
 	}
-	return Parts{
-		keys:   p.keys[:n],
-		tokens: p.tokens[:n],
-	}
+	return n
 }
 
+// leastToldFar is the smallest part, in tokens, that other zones are told of.
+const leastToldFar = 1024
+
 // noteRead has others hear of a read.
 func (f *Fleet) noteRead(id waxwingpick.TargetID, p Parts) {
-	p = worthTelling(p)
-	if len(p.keys) == 0 {
+	n := worthTelling(p.tokens, leastTold)
+	if n == 0 {
 		return
 	}
+	read := Read{
+		Engine: KeyOf(id),
+		Keys:   p.keys[:n],
+		Tokens: p.tokens[:n],
+	}
 	f.reads = append(f.reads, told{
-		read: Read{
-			Engine: KeyOf(id),
-			Keys:   p.keys,
-			Tokens: p.tokens,
-		},
+		read: read,
 		left: readsTold,
 	})
 	if len(f.reads) > readsTold*mostReads {
 		f.reads = f.reads[1:]
 	}
+	f.noteZoneRead(read)
+}
+
+// noteZoneRead has the other zones hear of a read, where this process sums up its own.
+func (f *Fleet) noteZoneRead(r Read) {
+	if len(r.Keys) != len(r.Tokens) {
+		return
+	}
+	n := worthTelling(r.Tokens, leastToldFar)
+	if n == 0 {
+		return
+	}
+	f.zoneReads = append(f.zoneReads, Read{
+		Engine: r.Engine,
+		Keys:   r.Keys[:n],
+		Tokens: r.Tokens[:n],
+	})
+	if len(f.zoneReads) > mostReads {
+		f.zoneReads = f.zoneReads[1:]
+	}
 }
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -163,6 +163,13 @@
 	})
 }
 
+// toTell reports whether there are crashes that others are to hear of.
+func (c *crashes) toTell() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.told) > 0
+}
+
 // reports returns the crashes that others are to hear of.
 func (c *crashes) reports(now time.Time) []crashReport {
 	c.mu.Lock()
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"path"
 	"slices"
 	"strings"
 	"sync"
@@ -160,6 +161,33 @@
 	return s.addrs(func(p peer) bool { return p.zone == s.process.options.Zone })
 }
 
+// zoneMembers are the gateways of one availability zone.
+type zoneMembers struct {
+	ids   []waxwingpick.InstanceID
+	addrs map[waxwingpick.InstanceID]string
+}
+
+// far returns the gateways of the other availability zones.
+func (s *peers) far() map[waxwingpick.AvailabilityZone]zoneMembers {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	zones := make(map[waxwingpick.AvailabilityZone]zoneMembers)
+	for key, p := range s.known {
+		if p.zone == "" || p.zone == s.process.options.Zone {
+			continue
+		}
+		z, ok := zones[p.zone]
+		if !ok {
+			z.addrs = make(map[waxwingpick.InstanceID]string)
+		}
+		id := waxwingpick.InstanceID(path.Base(key))
+		z.ids = append(z.ids, id)
+		z.addrs[id] = p.addr
+		zones[p.zone] = z
+	}
+	return zones
+}
+
 func (s *peers) addrs(some func(p peer) bool) []string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -103,6 +103,7 @@
 		ahead:     choice.Ahead,
 		predicted: choice.Predicted,
 		held:      choice.HeldTokens,
+		ages:      choice.Ages,
 	}
 	if verdict != waxwingpick.VerdictPlaced {
 		return chosen, verdict
@@ -140,6 +141,23 @@
 	return s.fleet.Summary(now), true
 }
 
+// digest returns what other availability zones are to know of this one's requests.
+func (s *service) digest(now time.Time) (summary placement.Summary, engines bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.engines {
+		return summary, false
+	}
+	return s.fleet.Digest(now), true
+}
+
+// observeZone takes a digest of another availability zone.
+func (s *service) observeZone(now time.Time, zone waxwingpick.AvailabilityZone, age time.Duration, told placement.Summary) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fleet.ObserveZone(now, zone, age, told)
+}
+
 // observe takes what another process told of its requests.
 func (s *service) observe(now time.Time, peer waxwingpick.InstanceID, told placement.Summary) {
 	s.mu.Lock()
@@ -169,6 +187,8 @@
 	ahead     time.Duration
 	predicted time.Duration
 	held      int
+	// ages are how old what other gateways told of the engine's load was.
+	ages []time.Duration
 
 	// call is that of a plain service, the legs those of engines.
 	call       *balance.Call
--- a/internal/gateway/trails.go
+++ b/internal/gateway/trails.go
@@ -24,6 +24,7 @@
 
 // chosen notes the choice of targets.
 func (x *exchange) chosen(now time.Time, c pick) {
+	x.process.options.Metrics.ToldAges(c.ages)
 	inputs := []waxwingpick.Input{waxwingpick.InMillis("predicted", c.predicted), waxwingpick.InMillis("ahead", c.ahead)}
 	if c.held > 0 {
 		inputs = append(inputs, waxwingpick.In("heldTokens", c.held))
--- a/io/prometheus/gateway.go
+++ b/io/prometheus/gateway.go
@@ -30,6 +30,7 @@
 	sharing    client.Gauge
 	feedReads  client.Gauge
 	feedAge    client.Gauge
+	toldAge    client.Histogram
 	targets    *client.GaugeVec
 }
 
@@ -49,11 +50,17 @@
 		sharing:    single("gateway_sharing", "Gateways that share the retry budget; zero as long as their number is not known."),
 		feedReads:  single("gateway_feed_reads", "1 where changes are read from the key-value service, 0 where other gateways tell them."),
 		feedAge:    single("gateway_feed_age_seconds", "Time since it was last known that no change is missing."),
-		targets:    gauge("gateway_targets", "Targets of the platform's list by state.", "service", "state"),
+		toldAge: client.NewHistogram(client.HistogramOpts{
+			Namespace: namespace,
+			Name:      "gateway_told_age_seconds",
+			Help:      "Age of what other gateways told of an engine's load, when the engine is chosen.",
+			Buckets:   toldAgeBuckets,
+		}),
+		targets: gauge("gateway_targets", "Targets of the platform's list by state.", "service", "state"),
 	}
 	for _, c := range []client.Collector{
 		g.requests, g.answers, g.firstEvent, g.refused, g.retries, g.attempts, g.running, g.version, g.peers, g.sharing,
-		g.feedReads, g.feedAge, g.targets,
+		g.feedReads, g.feedAge, g.toldAge, g.targets,
 	} {
 		if err := g.registry.Register(c); err != nil {
 			return nil, fmt.Errorf("register metrics: %w", err)
@@ -134,6 +141,13 @@
 	g.feedAge.Set(age.Seconds())
 }
 
+// ToldAges observes how old what other gateways told of the load at a chosen engine was.
+func (g *Gateway) ToldAges(ages []time.Duration) {
+	for _, age := range ages {
+		g.toldAge.Observe(age.Seconds())
+	}
+}
+
 // Targets sets the targets of a service that take requests and those that leave.
 func (g *Gateway) Targets(service waxwingpick.ServiceName, ready, leaving int) {
 	label := g.services.label(string(service))
--- a/io/prometheus/metrics.go
+++ b/io/prometheus/metrics.go
@@ -19,6 +19,7 @@
 var (
 	answerBuckets     = []float64{0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 60, 120, 300}
 	firstTokenBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.89, 1.5, 3, 6, 15, 60}
+	toldAgeBuckets    = []float64{0.01, 0.025, 0.05, 0.075, 0.1, 0.15, 0.2, 0.3, 0.4, 0.6}
 	gapBuckets        = []float64{0.001, 0.005, 0.01, 0.02, 0.037, 0.05, 0.1, 0.25, 1}
 )
 
