--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -134,9 +134,9 @@
 	// room is the wait for memory behind requests that are at least as urgent, roomAll that behind all.
 	room    time.Duration
 	roomAll time.Duration
-	// far is what sending the request to an engine of another availability zone costs.
-	far time.Duration
-	// cost is the wait with the reading as often as it counts, and far.
+	// farBytes is what sending the request's bytes to an engine of another availability zone costs.
+	farBytes time.Duration
+	// cost is the wait with the reading as often as it counts, and more at an engine of another availability zone.
 	cost time.Duration
 }
 
@@ -222,7 +222,7 @@
 	best := Choice{}
 	for i, o := range runners {
 		rest := splitCost + f.transferTime(d.Parts.prompt-o.held, reader.engine.target, o.engine.target) + o.wait + o.silence + o.crowding()
-		cost := reader.cost + o.roomAll + o.far + rest
+		cost := reader.cost + o.roomAll + o.farBytes + rest
 		if i == 0 || cost < best.cost {
 			best = Choice{
 				Run:        o.engine.target,
@@ -262,23 +262,23 @@
 	held := e.cache.held(d.Parts)
 	all := e.load(now)
 	p := f.paceOf(e.target.Role)
-	far := time.Duration(0)
+	far, farBytes := time.Duration(0), time.Duration(0)
 	if e.target.Zone != f.zone {
-		far = farCost + time.Duration(d.Bytes)*farByteCost
+		far, farBytes = farCost, time.Duration(d.Bytes)*farByteCost
 	}
 	need := e.memory.need(d.Parts)
 	wait, read := p.scale(all.work), p.base+p.scale(readTime(d.Parts.prompt, held))
 	return option{
-		engine:  e,
-		held:    held,
-		load:    all,
-		wait:    wait,
-		read:    read,
-		room:    f.resides.wait(all.upTo(d.Priority), need, f.traits.MemoryTokens),
-		roomAll: f.resides.wait(all.upTo(priorities-1), need, f.traits.MemoryTokens),
-		silence: all.overdue,
-		far:     far,
-		cost:    wait + all.overdue + time.Duration(f.readings)*read + f.stall(e, read) + far,
+		engine:   e,
+		held:     held,
+		load:     all,
+		wait:     wait,
+		read:     read,
+		room:     f.resides.wait(all.upTo(d.Priority), need, f.traits.MemoryTokens),
+		roomAll:  f.resides.wait(all.upTo(priorities-1), need, f.traits.MemoryTokens),
+		silence:  all.overdue,
+		farBytes: farBytes,
+		cost:     wait + all.overdue + time.Duration(f.readings)*read + f.stall(e, read) + far + farBytes,
 	}
 }
 
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -18,8 +18,9 @@
 	tellPeriod = 40 * time.Millisecond
 	// tellRate bounds the summaries that a gateway sends a second; in a large zone they are rarer.
 	tellRate = 200
-	// digestPeriod is the time between two digests of a zone; bytes between zones have a price.
-	digestPeriod = 100 * time.Millisecond
+	// digestRate bounds the digests that a gateway sends a second, as bytes between zones have a price: before many zones
+	// they are rarer.
+	digestRate = 50
 	// mostZones bounds the digests of one message.
 	mostZones = 64
 	// mostDigestAge bounds how old a digest may be said to be; an older one is of no use.
@@ -70,10 +71,12 @@
 	follower *follower
 	own      *registration
 
-	mu   sync.Mutex
-	told time.Time
-	duty *digest.Duty
-	far  map[waxwingpick.AvailabilityZone]farDigest
+	mu sync.Mutex
+	// told and digested are when the last summary and the last digests were sent.
+	told     time.Time
+	digested time.Time
+	duty     *digest.Duty
+	far      map[waxwingpick.AvailabilityZone]farDigest
 }
 
 func newGossip(p *Process) *gossip {
@@ -101,7 +104,7 @@
 		p.timers.Every(registerCheck, g.own.look),
 		p.timers.Every(peerGrace, g.peers.expire),
 		p.timers.Every(feed.TellPeriod, g.tellNews),
-		p.timers.Every(digestPeriod, g.tellDigest),
+		p.timers.Every(tellPeriod, g.tellDigest),
 		p.timers.Every(tellPeriod, g.tell))
 }
 
@@ -196,9 +199,10 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	index, ok := g.duty.Index(now)
-	if !ok {
+	if !ok || now.Sub(g.digested) < time.Duration(len(zones))*time.Second/digestRate {
 		return nil
 	}
+	g.digested = now
 	var receivers []string
 	for zone, listed := range zones {
 		if id, ok := g.duty.Receiver(now, index, zone, listed.ids).Get(); ok {
