--- a/internal/daemon/gateway_test.go
+++ b/internal/daemon/gateway_test.go
@@ -17,6 +17,7 @@
 	"waxwingpick"
 	"waxwingpick/core/retry"
 	"waxwingpick/internal/loopback"
+	"waxwingpick/internal/standin/flood"
 	"waxwingpick/internal/standin/store"
 	"waxwingpick/internal/standin/target"
 	"waxwingpick/io/jsonlines"
@@ -682,3 +683,43 @@
 	s := startSite(t)
 	s.join()
 }
+
+// TestTargetsThatSendWithoutEndHarmNobodyElse has every target of one service send bytes without end: its callers are told
+// that their requests may have run, and those of the other service are served meanwhile.
+func TestTargetsThatSendWithoutEndHarmNobodyElse(t *testing.T) {
+	t.Parallel()
+	const head = "HTTP/1.1 200 OK\r\n"
+	for name, first := range map[string]string{
+		"head": "",
+		"body": head + "\r\n",
+		"size": head + "Transfer-Encoding: chunked\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := newSite(t)
+			endless, err := flood.New(first, strings.Repeat("0", 8<<10), 0)
+			require.NoError(t, err)
+			t.Cleanup(endless.Close)
+			for i := range s.services {
+				entry := s.services[i].Entry("app", "zone", "ready")
+				entry["address"] = endless.Addr()
+				require.NoError(t, s.store.Put(t.Context(), fmt.Sprint("servers/app", i), entry))
+			}
+			s.start()
+			defer s.stop()
+			for i := range 5 {
+				status, _, _ := s.read(s.ask(fmt.Sprint("order", i), "/order/1", "book"))
+				require.Contains(t, []int{http.StatusBadGateway, http.StatusGatewayTimeout}, status)
+				status, body, whole := s.read(s.ask(fmt.Sprint("quick", i), "/quick/a", ""))
+				require.Equal(t, http.StatusOK, status)
+				require.True(t, whole)
+				require.Equal(t, wholeStream(), body)
+			}
+			select {
+			case <-endless.Cut():
+			case <-time.After(time.Minute):
+				require.Fail(t, "a target still sends")
+			}
+		})
+	}
+}
--- a/internal/http1/answer.go
+++ b/internal/http1/answer.go
@@ -55,15 +55,18 @@
 	return fields
 }
 
-// Body returns a copy of the body, and at most limit bytes of a streamed one.
+// Body returns a copy of the body; it fails where a streamed one has more than limit bytes.
 func (a *Answer) Body(limit int) ([]byte, error) {
 	if !a.resp.IsBodyStream() {
 		return bytes.Clone(a.resp.Body()), nil
 	}
-	body, err := io.ReadAll(io.LimitReader(a, int64(limit)))
+	body, err := io.ReadAll(io.LimitReader(a, int64(limit)+1))
 	if err != nil {
 		return nil, fmt.Errorf("%w: read body: %w", waxwingpick.ErrEngineLost, err)
 	}
+	if len(body) > limit {
+		return nil, fmt.Errorf("%w: body of more than %d bytes", waxwingpick.ErrEngineLost, limit)
+	}
 	return body, nil
 }
 
