gateway: messages are told before the feed begins to read; load told at scale is replayed

Cause: the follower's loop could tell news before the function that tells them was set, a race of the start. Found on a reading. A message of the former version is dropped.

--- a/core/placement/replay_test.go
+++ b/core/placement/replay_test.go
@@ -129,11 +129,16 @@
 			w.at(t, w.tell)
 		}
 	}
+	w.drain()
+	return w.tally
+}
+
+// drain plays all steps that are left.
+func (w *replay) drain() {
 	for len(w.steps) > 0 {
 		s := heap.Pop(&w.steps).(step)
 		s.do(s.at)
 	}
-	return w.tally
 }
 
 func (w *replay) demand(t time.Time, long float64) asked {
--- a/internal/gateway/gossip_test.go
+++ b/internal/gateway/gossip_test.go
@@ -29,12 +29,33 @@
 	}
 	return message{
 		From: "gateway-1",
+		Zone: "zone",
 		Services: map[waxwingpick.ServiceName]placement.Summary{
 			"llm": s,
 		},
+		Digests: []zoneDigest{{
+			Zone:      "other",
+			AgeMillis: 120,
+			Services: map[waxwingpick.ServiceName]placement.Summary{
+				"llm": {
+					Engines: s.Engines[:2],
+				},
+			},
+		}},
 	}
 }
 
+// TestMessagesOfFormerVersionsAreDropped has a gateway of the version before zones told each other sums: its address is
+// listed without a zone, and its messages have three fields.
+func TestMessagesOfFormerVersionsAreDropped(t *testing.T) {
+	former, err := cbor.Marshal([]any{"former", map[string]any{}, nil})
+	require.NoError(t, err)
+	var m message
+	require.Error(t, cbor.Unmarshal(former, &m))
+	_, all, _ := newNetwork(t, 1, 2)
+	all[0].take(former)
+}
+
 func TestMessagesAreShortAndComeBackTheSame(t *testing.T) {
 	encoded, err := cbor.Marshal(full())
 	require.NoError(t, err)
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -95,8 +95,8 @@
 	if p.options.Peers != nil {
 		g := newGossip(p)
 		g.follower = newFollower(p, append(sinks, g.peers)...)
-		p.loops.Go(g.follower.run)
 		g.start()
+		p.loops.Go(g.follower.run)
 		return
 	}
 	p.loops.Go(newFollower(p, sinks...).run)
