--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -108,11 +108,11 @@
 		p.timers.Every(tellPeriod, g.tell))
 }
 
-// tell sends the own summary to the gateways of the own zone, less often where they are many.
+// tell sends the own summary to the gateways of the own zone, less often where they are many, or to all of a small fleet.
 func (g *gossip) tell(now time.Time) {
-	near := g.peers.near()
+	peers := g.peers.told()
 	g.mu.Lock()
-	due := now.Sub(g.told) >= time.Duration(len(near))*time.Second/tellRate
+	due := now.Sub(g.told) >= time.Duration(len(peers))*time.Second/tellRate
 	if due {
 		g.told = now
 	}
@@ -126,7 +126,7 @@
 	}
 	m := g.summary(now)
 	m.Digests = g.toPass(now)
-	g.send(near, m)
+	g.send(peers, m)
 }
 
 // tellCrashes sends the own summary and the known crashes of targets to all gateways now.
@@ -195,6 +195,9 @@
 
 // receivers returns the addresses to which this gateway sends digests of its zone.
 func (g *gossip) receivers(now time.Time) []string {
+	if g.peers.small() {
+		return nil
+	}
 	zones := g.peers.far()
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -276,7 +279,7 @@
 		g.duty.Heard(now, m.From, m.Zone)
 	}
 	g.mu.Unlock()
-	if near {
+	if near || g.peers.small() {
 		for name, summary := range m.Services {
 			if s := g.process.service(name); s != nil {
 				s.observe(now, m.From, summary)
--- a/internal/gateway/gossip_zones_test.go
+++ b/internal/gateway/gossip_zones_test.go
@@ -159,3 +159,25 @@
 		require.EqualValues(t, "b", chosenBy(g, clocks[i].Now()), "%s", g.process.options.Instance)
 	}
 }
+
+// TestSmallFleetsTellEachOtherDirectly has few gateways in zones of their own hear of a load without a digest.
+func TestSmallFleetsTellEachOtherDirectly(t *testing.T) {
+	_, all, clocks := newNetwork(t, smallFleet, 1)
+	now := clocks[0].Now()
+	for range 20 {
+		all[0].process.service("llm").chooseEngines(now, placement.Demand{
+			Prompt: waxwingpick.Prompt{
+				Tokens: 20_000,
+			},
+			Deadline: now.Add(time.Hour),
+			Exclude:  []waxwingpick.TargetID{"b"},
+		})
+	}
+	all[0].tell(now)
+	for i, g := range all {
+		require.Empty(t, g.receivers(now))
+		require.EqualValues(t, "b", chosenBy(g, clocks[i].Now()), "%s", g.process.options.Instance)
+	}
+	_, more, _ := newNetwork(t, smallFleet+1, 1)
+	require.NotEmpty(t, more[0].receivers(now))
+}
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -19,6 +19,9 @@
 	// peerGrace is how long a gateway counts whose entry is gone: entries lapse when the service is away, and are back soon
 	// after it.
 	peerGrace = 6 * time.Second
+	// smallFleet is how many gateways tell each other load directly, of whatever zone: a digest is older by a hop, and so few
+	// send few bytes.
+	smallFleet = 8
 	// maxPeers bounds the gateways that are known.
 	maxPeers = 1024
 )
@@ -41,7 +44,8 @@
 
 	mu    sync.Mutex
 	known map[string]peer
-	told  int
+	// shown is the number of gateways that was last logged.
+	shown int
 }
 
 var _ sink = (*peers)(nil)
@@ -131,8 +135,8 @@
 		return !p.missing.IsZero() && now.Sub(p.missing) > peerGrace
 	})
 	n := len(s.known)
-	changed := n != s.told
-	s.told = n
+	changed := n != s.shown
+	s.shown = n
 	s.mu.Unlock()
 	s.process.setGateways(now, 1+n)
 	if !changed {
@@ -156,6 +160,19 @@
 	return s.addrs(func(peer) bool { return true })
 }
 
+// small reports whether all gateways tell each other their load.
+func (s *peers) small() bool {
+	return s.count() < smallFleet
+}
+
+// told returns the addresses of those that are told the own load.
+func (s *peers) told() []string {
+	if s.small() {
+		return s.all()
+	}
+	return s.near()
+}
+
 // near returns the addresses of those in the own availability zone.
 func (s *peers) near() []string {
 	return s.addrs(func(p peer) bool { return p.zone == s.process.options.Zone })
