--- a/core/feed/world_test.go
+++ b/core/feed/world_test.go
@@ -497,7 +497,7 @@
 			},
 		},
 		"never reads again": {
-			mode: func(f *feed.Feed, now time.Time) feed.Mode {
+			mode: func(f *feed.Feed, _ time.Time) feed.Mode {
 				if !f.Known() {
 					return feed.ModeReads
 				}
--- a/internal/gateway/gossip_zones_test.go
+++ b/internal/gateway/gossip_zones_test.go
@@ -103,6 +103,19 @@
 	return chosen.run.ID
 }
 
+// loadEngine has a gateway send long prompts to engine a.
+func loadEngine(g *gossip, now time.Time) {
+	for range 20 {
+		g.process.service("llm").chooseEngines(now, placement.Demand{
+			Prompt: waxwingpick.Prompt{
+				Tokens: 20_000,
+			},
+			Deadline: now.Add(time.Hour),
+			Exclude:  []waxwingpick.TargetID{"b"},
+		})
+	}
+}
+
 // TestEachZoneHearsTheOthersInFewMessages has every gateway hear of a load at one engine that one of another zone has, and
 // counts the messages between zones.
 func TestEachZoneHearsTheOthersInFewMessages(t *testing.T) {
@@ -120,15 +133,7 @@
 	second()
 	// One gateway has a long prompt at the engine that all would choose.
 	now := clocks[0].Now()
-	for range 20 {
-		all[0].process.service("llm").chooseEngines(now, placement.Demand{
-			Prompt: waxwingpick.Prompt{
-				Tokens: 20_000,
-			},
-			Deadline: now.Add(time.Hour),
-			Exclude:  []waxwingpick.TargetID{"b"},
-		})
-	}
+	loadEngine(all[0], now)
 	n.far = 0
 	second()
 	for i, g := range all {
@@ -164,15 +169,7 @@
 func TestSmallFleetsTellEachOtherDirectly(t *testing.T) {
 	_, all, clocks := newNetwork(t, smallFleet, 1)
 	now := clocks[0].Now()
-	for range 20 {
-		all[0].process.service("llm").chooseEngines(now, placement.Demand{
-			Prompt: waxwingpick.Prompt{
-				Tokens: 20_000,
-			},
-			Deadline: now.Add(time.Hour),
-			Exclude:  []waxwingpick.TargetID{"b"},
-		})
-	}
+	loadEngine(all[0], now)
 	all[0].tell(now)
 	for i, g := range all {
 		require.Empty(t, g.receivers(now))
