gateway: log and count what targets state about themselves

platform decodes Server-Limit into waxwingpick.Statement; the attempt and prefill lines have it as requestLimit, and waxwingpick_gateway_statements_total counts it by service and kind. Values are bounded: of several the lowest counts, what is no decimal number is logged cut and counted as malformed, responses of another target (421) count for nothing. No decision uses it yet.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -160,6 +160,7 @@
 		ResumeAfter: x.resumeAfter(),
 		Stream:      x.route.Kind == waxwingpick.RequestStream,
 	})
+	x.observeStatement(reply.Statement)
 	s := x.classify(reply, err)
 	if s.refusal != nil {
 		if s.unsent() {
@@ -175,6 +176,13 @@
 	return chosen, s
 }
 
+// observeStatement applies what a target states about itself in a response.
+func (x *exchange) observeStatement(stated waxwingpick.Option[waxwingpick.Statement]) {
+	if s, ok := stated.Get(); ok {
+		x.process.options.Metrics.Statement(x.service.name, s)
+	}
+}
+
 // discountUnsent excludes a send that did not reach its target from the count that bounds all sends.
 func (x *exchange) discountUnsent(s sendResult) {
 	if s.unsent() {
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -59,10 +59,26 @@
 }
 
 // recordPrefill records that an engine completed the prefill stage.
-func (x *exchange) recordPrefill(engine waxwingpick.Target) {
+func (x *exchange) recordPrefill(engine waxwingpick.Target, prefilled waxwingpick.Prefilled) {
 	now := x.process.timers.Now()
-	x.trail.Add(waxwingpick.ActionAttempt.Of(now, "prefilled", waxwingpick.In("target", engine.ID),
-		waxwingpick.InMillis("at", now.Sub(x.in.Arrived))))
+	inputs := append([]waxwingpick.Input{
+		waxwingpick.In("target", engine.ID),
+		waxwingpick.InMillis("at", now.Sub(x.in.Arrived)),
+	}, statementInputs(prefilled.Statement)...)
+	x.trail.Add(waxwingpick.ActionAttempt.Of(now, "prefilled", inputs...))
+}
+
+// statementInputs returns what a target states about itself in a response.
+func statementInputs(stated waxwingpick.Option[waxwingpick.Statement]) []waxwingpick.Input {
+	s, _ := stated.Get()
+	var inputs []waxwingpick.Input
+	if limit, ok := s.RequestLimit.Get(); ok {
+		inputs = append(inputs, waxwingpick.In("requestLimit", limit))
+	}
+	if s.Malformed != "" {
+		inputs = append(inputs, waxwingpick.In("malformedLimit", s.Malformed))
+	}
+	return inputs
 }
 
 // recordAttempt records how an attempt ended, or that its stream started.
@@ -74,6 +90,7 @@
 		waxwingpick.In("status", s.reply.Status),
 		waxwingpick.InMillis("at", now.Sub(x.in.Arrived)),
 	}
+	inputs = append(inputs, statementInputs(s.reply.Statement)...)
 	if s.refusal == nil {
 		x.trail.Add(waxwingpick.ActionAttempt.Of(now, "answered", inputs...))
 		return
--- a/internal/gateway/prefill.go
+++ b/internal/gateway/prefill.go
@@ -24,7 +24,7 @@
 
 // runPrefill runs the prefill stage at one engine for another one.
 func (x *exchange) runPrefill(chosen selection, engine waxwingpick.Target) sendResult {
-	cache, err := x.process.options.Targets.Prefill(x.ctx, waxwingpick.Dispatch{
+	prefilled, err := x.process.options.Targets.Prefill(x.ctx, waxwingpick.Dispatch{
 		Inbound:   x.in,
 		Target:    engine,
 		CopyFrom:  copySource(chosen.prefillStage),
@@ -32,16 +32,17 @@
 		Priority:  x.route.Priority,
 	})
 	now := x.process.timers.Now()
+	x.observeStatement(prefilled.Statement)
 	if err == nil {
 		x.prefills++
 		x.service.prefilled(now, chosen)
 		x.cache = waxwingpick.Some(prefilledCache{
 			chosen:   chosen,
-			kvSource: cache.Source,
+			kvSource: prefilled.Source,
 			at:       now,
 		})
 		if x.ctx.Err() == nil {
-			x.recordPrefill(engine)
+			x.recordPrefill(engine, prefilled)
 			return sendResult{}
 		}
 		x.releaseCache()
--- a/io/prometheus/gateway.go
+++ b/io/prometheus/gateway.go
@@ -32,6 +32,7 @@
 	feedAge    client.Gauge
 	reportAge  client.Histogram
 	targets    *client.GaugeVec
+	statements *client.CounterVec
 }
 
 // NewGateway returns metrics with a new registry.
@@ -56,11 +57,12 @@
 			Help:      "Age of what other gateways told of an engine's load, when the engine is chosen.",
 			Buckets:   reportAgeBuckets,
 		}),
-		targets: gauge("gateway_targets", "Targets of the platform's list by state.", "service", "state"),
+		targets:    gauge("gateway_targets", "Targets of the platform's list by state.", "service", "state"),
+		statements: counter("gateway_statements_total", "Responses in which a target states something about itself, by kind.", "service", "kind"),
 	}
 	for _, c := range []client.Collector{
 		g.requests, g.responses, g.firstEvent, g.refused, g.retries, g.attempts, g.running, g.version, g.peers, g.sharing,
-		g.feedReads, g.feedAge, g.reportAge, g.targets,
+		g.feedReads, g.feedAge, g.reportAge, g.targets, g.statements,
 	} {
 		if err := g.registry.Register(c); err != nil {
 			return nil, fmt.Errorf("register metrics: %w", err)
@@ -155,3 +157,13 @@
 	g.targets.WithLabelValues(label, "ready").Set(float64(ready))
 	g.targets.WithLabelValues(label, "leaving").Set(float64(leaving))
 }
+
+// Statement counts a response in which a target states something about itself.
+func (g *Gateway) Statement(service waxwingpick.ServiceName, s waxwingpick.Statement) {
+	if _, ok := s.RequestLimit.Get(); ok {
+		g.statements.WithLabelValues(g.services.label(string(service)), "requestLimit").Inc()
+	}
+	if s.Malformed != "" {
+		g.statements.WithLabelValues(g.services.label(string(service)), "malformed").Inc()
+	}
+}
--- a/target.go
+++ b/target.go
@@ -63,6 +63,9 @@
 	Misdirected bool
 	// Requests is the number of running and queued requests at the target, if the target reports it.
 	Requests Option[int]
+	// Statement is what the target states about itself; none if it sent no response or another target did. It is also
+	// set if reading the body failed.
+	Statement Option[Statement]
 }
 
 // RawEvent is one event of a streamed response, as sent by the target.
@@ -82,6 +85,9 @@
 // Prefilled is the result of a prefill: KV cache that a target holds for a prompt.
 type Prefilled struct {
 	Source KVSource
+	// Statement is what the target states about itself; none if it sent no response or another target did. It is also
+	// set if the prefill failed.
+	Statement Option[Statement]
 }
 
 // Dispatcher sends requests to targets. Its errors are ErrEngineUnreachable if nothing was sent, ErrEngineRefused if
