--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -24,6 +24,7 @@
 
 	mu          sync.Mutex
 	runs        []Run
+	arrivals    []time.Time
 	handles     map[string]bool
 	prefills    int
 	refused     int
@@ -50,6 +51,8 @@
 	BreakAfter int
 	// ResponseDelay delays every response.
 	ResponseDelay time.Duration
+	// RequestLimit is the request limit that every response states, unless empty.
+	RequestLimit string
 	// CrashOn is the request body that crashes the target when it runs the request. It is down for its restart time.
 	CrashOn string
 }
@@ -109,6 +112,13 @@
 	return append([]Run(nil), t.runs...)
 }
 
+// Arrivals returns when the requests that expect this instance arrived, in order. Releases of KV cache count.
+func (t *Target) Arrivals() []time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]time.Time(nil), t.arrivals...)
+}
+
 // Refused returns the number of requests that Faults.Full rejected.
 func (t *Target) Refused() int {
 	t.mu.Lock()
@@ -141,6 +151,7 @@
 	app.Delete("/kv-handle/:id", func(c fiber.Ctx) error {
 		t.mu.Lock()
 		defer t.mu.Unlock()
+		t.arrivals = append(t.arrivals, time.Now())
 		delete(t.handles, c.Params("id"))
 		return c.SendStatus(http.StatusOK)
 	})
@@ -162,6 +173,14 @@
 		t.mu.Unlock()
 		c.Set("Waxwingpick-Instance-Id", t.id)
 		return c.SendStatus(http.StatusMisdirectedRequest)
+	}
+	t.mu.Lock()
+	t.arrivals = append(t.arrivals, time.Now())
+	t.mu.Unlock()
+	if faults.RequestLimit != "" {
+		c.Set("Server-Limit", faults.RequestLimit)
+	}
+	switch {
 	case faults.Full:
 		t.mu.Lock()
 		t.refused++
