gateway: hold the request limits that targets state, over all gateways

Cause: no gateway read the statement. platform decoded the load of a response and dropped the rest, no decision knew of a limit, and nothing was shared among gateways. Class of fault: what a target states about itself in a response is lost in the adapter.

A limit is a belief with the time at which the target stated it; the newest counts, from own responses or from other gateways, which send each other the limits that they know (at once to all of a small fleet, else to three at random which pass them on). A response without a limit ends it only if its request was sent after the limit was stated. Every send takes a token in the lock that chooses its target: plain calls, prefill, the engine that generates, chosen after the prefill, retries, resumed streams; KV cache of an engine without a token is not released and expires there. Requests for which all targets are used up are refused at once as not run, with the time of the next token.

--- a/core/balance/pool.go
+++ b/core/balance/pool.go
@@ -74,12 +74,12 @@
 	Predicted time.Duration
 }
 
-// Choose selects the least loaded target that is neither excluded nor leaving. Ejected targets are only considered if
+// Choose selects the least loaded target that is neither excluded, exhausted nor leaving. Ejected targets are only considered if
 // there is no other one.
 func (p *Pool) Choose(now time.Time, d Demand) (Choice, waxwingpick.Verdict) {
 	p.rotation++
 	for _, all := range []bool{false, true} {
-		m := p.least(now, d.Exclude, all)
+		m := p.least(now, d, all)
 		if m == nil {
 			continue
 		}
@@ -96,13 +96,13 @@
 }
 
 // least returns the least loaded member, or nil if none is eligible.
-func (p *Pool) least(now time.Time, exclude []waxwingpick.TargetID, all bool) *member {
+func (p *Pool) least(now time.Time, d Demand, all bool) *member {
 	var best *member
 	least := 0.0
 	for i := range p.order {
 		// Targets of equal load are selected in rotation.
 		m := p.members[p.order[(i+p.rotation)%len(p.order)]]
-		if m.target.Leaving || slices.Contains(exclude, m.target.ID) || !all && m.health.Ejected(now) {
+		if m.target.Leaving || slices.Contains(d.Exclude, m.target.ID) || d.Exhausted.Has(m.target.ID) || !all && m.health.Ejected(now) {
 			continue
 		}
 		if load := p.load(now, m); best == nil || load < least {
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -501,3 +501,24 @@
 	}
 	require.Len(t, f.zones, maxZones)
 }
+
+func TestExhaustedEnginesGetNoStage(t *testing.T) {
+	prefill := engineTarget("p", waxwingpick.RolePrefill)
+	f := fleetOf(engineTarget("d", waxwingpick.RoleDecode), engineTarget("e", waxwingpick.RoleDecode), prefill)
+	d := demand("a", 20_000)
+	choice, verdict := f.Choose(start, d)
+	require.Equal(t, waxwingpick.VerdictPlaced, verdict)
+	require.Equal(t, prefill, choice.Prefill.OrElse(waxwingpick.Target{}))
+	d.Exhausted = waxwingpick.NewSet[waxwingpick.TargetID]("p", "d")
+	choice, verdict = f.Choose(start, d)
+	require.Equal(t, waxwingpick.VerdictPlaced, verdict)
+	require.EqualValues(t, "e", choice.Run.ID)
+	_, split := choice.Prefill.Get()
+	require.False(t, split)
+	run, ok := f.ChooseRun(start, d, prefill)
+	require.True(t, ok)
+	require.EqualValues(t, "e", run.ID)
+	d.Exhausted.Add("e")
+	_, verdict = f.Choose(start, d)
+	require.Equal(t, waxwingpick.VerdictNone, verdict)
+}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -76,19 +76,29 @@
 		return x.chooseDecodeAgain(now, cache)
 	}
 	chosen, verdict := x.place(now)
+	if verdict != waxwingpick.VerdictPlaced {
+		return chosen, x.notPlaced(now, chosen, verdict)
+	}
+	x.recordChoice(now, chosen)
+	return chosen, nil
+}
+
+// notPlaced returns the refusal of a request for which no target was selected.
+func (x *exchange) notPlaced(now time.Time, chosen selection, verdict waxwingpick.Verdict) *waxwingpick.Refusal {
+	var refusal *waxwingpick.Refusal
 	switch verdict {
-	case waxwingpick.VerdictPlaced:
-		x.recordChoice(now, chosen)
-		return chosen, nil
 	case waxwingpick.VerdictNone:
-		return chosen, x.noTarget(now)
+		refusal = waxwingpick.NotRun(waxwingpick.ReasonNoTarget, noTargetRetry, "no target available")
 	case waxwingpick.VerdictLate:
 		after := min(maxLateRetryAfter, max(minLateRetryAfter, chosen.predicted-x.route.LatencyObjective))
-		refusal := waxwingpick.NotRun(waxwingpick.ReasonDeadline, after, "no target can meet the latency objective")
-		x.recordNoPlacement(now, verdict, chosen.predicted, refusal)
-		return chosen, refusal
+		refusal = waxwingpick.NotRun(waxwingpick.ReasonDeadline, after, "no target can meet the latency objective")
+	case waxwingpick.VerdictLimited:
+		refusal = waxwingpick.NotRun(waxwingpick.ReasonOverload, x.process.limits.retryAfter(now), "the targets state request limits that are used up")
+	case waxwingpick.VerdictPlaced:
+		panic("refusal of a placed request")
 	}
-	panic("unknown verdict of the placement")
+	x.recordNoPlacement(now, verdict, chosen.predicted, refusal)
+	return refusal
 }
 
 // place selects the engines of a model request, or the target of a plain one.
@@ -124,12 +134,6 @@
 	return x.deadline
 }
 
-func (x *exchange) noTarget(now time.Time) *waxwingpick.Refusal {
-	refusal := waxwingpick.NotRun(waxwingpick.ReasonNoTarget, noTargetRetry, "no target available")
-	x.recordNoPlacement(now, waxwingpick.VerdictNone, 0, refusal)
-	return refusal
-}
-
 // send makes one attempt and waits for its response, or for the first event of a stream. It returns the selection with
 // the target that ran the request, which is chosen only after the prefill stage where the stages are split.
 func (x *exchange) send(chosen selection) (selection, sendResult) {
@@ -141,15 +145,17 @@
 			x.tried = append(x.tried, engine.ID)
 			return chosen, s
 		}
-		var ok bool
-		if chosen, ok = x.service.chooseDecode(x.process.timers.Now(), x.demand(), chosen); !ok {
+		now := x.process.timers.Now()
+		var verdict waxwingpick.Verdict
+		if chosen, verdict = x.service.chooseDecode(now, x.demand(), chosen); verdict != waxwingpick.VerdictPlaced {
 			return chosen, sendResult{
-				refusal: x.noTarget(x.process.timers.Now()),
+				refusal: x.notPlaced(now, chosen, verdict),
 			}
 		}
 	}
 	x.attempts++
 	x.tried = append(x.tried, chosen.target.ID)
+	sentAt := x.process.timers.Now()
 	reply, err := x.process.options.Targets.Send(x.ctx, waxwingpick.Dispatch{
 		Inbound:     x.in,
 		Target:      chosen.target,
@@ -160,7 +166,7 @@
 		ResumeAfter: x.resumeAfter(),
 		Stream:      x.route.Kind == waxwingpick.RequestStream,
 	})
-	x.observeStatement(reply.Statement)
+	x.observeStatement(sentAt, chosen.target, reply.Statement)
 	s := x.classify(reply, err)
 	if s.refusal != nil {
 		if s.unsent() {
@@ -177,10 +183,13 @@
 }
 
 // observeStatement applies what a target states about itself in a response.
-func (x *exchange) observeStatement(stated waxwingpick.Option[waxwingpick.Statement]) {
-	if s, ok := stated.Get(); ok {
-		x.process.options.Metrics.Statement(x.service.name, s)
+func (x *exchange) observeStatement(sentAt time.Time, t waxwingpick.Target, stated waxwingpick.Option[waxwingpick.Statement]) {
+	s, ok := stated.Get()
+	if !ok {
+		return
 	}
+	x.process.options.Metrics.Statement(x.service.name, s)
+	x.process.limits.observe(x.process.timers.Now(), sentAt, t, s)
 }
 
 // discountUnsent excludes a send that did not reach its target from the count that bounds all sends.
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -91,6 +91,7 @@
 		remote:           make(map[waxwingpick.AvailabilityZone]remoteDigest),
 	}
 	p.crashTracker.broadcast = g.sendCrashes
+	p.limits.publish = g.sendLimits
 	return g
 }
 
@@ -266,6 +267,10 @@
 		g.follower.applyUpdate(g.process.timers.Now(), update)
 		return
 	}
+	if len(encoded) > 0 && encoded[0] == limitsKind {
+		g.receiveLimits(g.process.timers.Now(), encoded)
+		return
+	}
 	var m message
 	if err := cbor.Unmarshal(encoded, &m); err != nil || m.From == "" || m.From == g.process.options.Instance {
 		return
@@ -275,6 +280,7 @@
 
 func (g *gossip) applyMessage(now time.Time, m message) {
 	g.process.crashTracker.apply(now, m.Crashes)
+	g.process.limits.processSeen(now, m.From)
 	sameZone := m.Zone == g.process.options.Zone
 	g.mu.Lock()
 	if sameZone || len(m.Digests) > 0 {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -139,6 +139,7 @@
 	s.loggedCount = n
 	s.mu.Unlock()
 	s.process.setGateways(now, 1+n)
+	s.process.limits.setProcesses(now, s.ids())
 	if !changed {
 		return
 	}
@@ -155,6 +156,17 @@
 	return len(s.gateways)
 }
 
+// ids returns the other gateways.
+func (s *peers) ids() []waxwingpick.InstanceID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ids := make([]waxwingpick.InstanceID, 0, len(s.gateways))
+	for key := range s.gateways {
+		ids = append(ids, waxwingpick.InstanceID(path.Base(key)))
+	}
+	return ids
+}
+
 // all returns the addresses of the other gateways.
 func (s *peers) all() []string {
 	return s.addrs(func(peer) bool { return true })
--- a/internal/gateway/prefill.go
+++ b/internal/gateway/prefill.go
@@ -24,6 +24,7 @@
 
 // runPrefill runs the prefill stage at one engine for another one.
 func (x *exchange) runPrefill(chosen selection, engine waxwingpick.Target) sendResult {
+	sentAt := x.process.timers.Now()
 	prefilled, err := x.process.options.Targets.Prefill(x.ctx, waxwingpick.Dispatch{
 		Inbound:   x.in,
 		Target:    engine,
@@ -32,7 +33,7 @@
 		Priority:  x.route.Priority,
 	})
 	now := x.process.timers.Now()
-	x.observeStatement(prefilled.Statement)
+	x.observeStatement(sentAt, engine, prefilled.Statement)
 	if err == nil {
 		x.prefills++
 		x.service.prefilled(now, chosen)
@@ -69,9 +70,9 @@
 
 // chooseDecodeAgain selects another engine to run the request from KV cache after one failed to do so.
 func (x *exchange) chooseDecodeAgain(now time.Time, cache prefilledCache) (selection, *waxwingpick.Refusal) {
-	chosen, ok := x.service.chooseDecode(now, x.demand(), cache.chosen)
-	if !ok {
-		return chosen, x.noTarget(now)
+	chosen, verdict := x.service.chooseDecode(now, x.demand(), cache.chosen)
+	if verdict != waxwingpick.VerdictPlaced {
+		return chosen, x.notPlaced(now, chosen, verdict)
 	}
 	x.recordChoice(now, chosen)
 	return chosen, nil
@@ -119,6 +120,11 @@
 	}
 	x.cache = waxwingpick.None[prefilledCache]()
 	p := x.process
+	engine := cache.chosen.prefill.OrElse(cache.chosen.target)
+	if !p.limits.take(p.timers.Now(), engine.ID) {
+		p.log.WithField("target", engine.ID).Debug("KV cache not released because of the target's request limit; it expires at its engine")
+		return
+	}
 	p.loops.Go(func() {
 		ctx, cancel := context.WithTimeout(p.lifecycle, releaseTimeout)
 		defer cancel()
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -36,6 +36,7 @@
 	trails       *trail.Log
 	gate         *drain.Gate
 	crashTracker *crashTracker
+	limits       *limits
 
 	table atomic.Pointer[routetable.Table]
 
@@ -71,6 +72,7 @@
 		list:     targetlist.New(),
 		services: make(map[waxwingpick.ServiceName]*service),
 	}
+	p.limits = newLimits(p)
 	var err error
 	if p.gate, err = drain.New(drain.WithLameDuck(o.LameDuck), drain.WithEnd(o.StopTimeout)); err != nil {
 		return nil, fmt.Errorf("create drain gate: %w", err)
@@ -98,9 +100,10 @@
 		g.follower = newFollower(p, append(sinks, g.peers)...)
 		g.start()
 		p.loops.Go(g.follower.run)
-		return
+	} else {
+		p.loops.Go(newFollower(p, sinks...).run)
 	}
-	p.loops.Go(newFollower(p, sinks...).run)
+	p.stops = append(p.stops, p.timers.Every(limitsInterval, p.limits.sync))
 }
 
 // Drain turns readiness off and waits until no request runs or ctx ends.
--- a/internal/gateway/process_test.go
+++ b/internal/gateway/process_test.go
@@ -90,7 +90,11 @@
 			Retries: retry.Bounds{
 				Window: time.Second,
 			},
-		})
+		}, newLimits(&Process{
+			options: Options{
+				Instance: "gateway",
+			},
+		}))
 		config := routetable.Service{
 			Name: "service",
 		}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -16,8 +16,9 @@
 
 // service holds the targets of one service and selects among them. Its methods are safe for concurrent use.
 type service struct {
-	name waxwingpick.ServiceName
-	log  logrus.FieldLogger
+	name   waxwingpick.ServiceName
+	log    logrus.FieldLogger
+	limits *limits
 
 	mu      sync.Mutex
 	engines bool
@@ -26,7 +27,7 @@
 	retries *retry.Policy
 }
 
-func newService(name waxwingpick.ServiceName, o Options) *service {
+func newService(name waxwingpick.ServiceName, o Options, l *limits) *service {
 	retries, err := retry.New(retry.Rand(newRandom()), retry.WithSharedBudget(o.Retries))
 	if err != nil {
 		// The bounds were checked with the options, so only a nil random source could fail.
@@ -35,6 +36,7 @@
 	return &service{
 		name:    name,
 		log:     o.Log,
+		limits:  l,
 		fleet:   placement.New(o.Zone),
 		pool:    balance.New(o.Zone),
 		retries: retries,
@@ -96,7 +98,11 @@
 func (s *service) chooseEngines(now time.Time, d placement.Demand) (selection, waxwingpick.Verdict) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	choice, verdict := s.fleet.Choose(now, d)
+	choice, verdict := place(now, s.limits, func(exhausted waxwingpick.Set[waxwingpick.TargetID]) (placement.Choice, waxwingpick.TargetID, waxwingpick.Verdict) {
+		d.Exhausted = exhausted
+		choice, verdict := s.fleet.Choose(now, d)
+		return choice, choice.Prefill.OrElse(choice.Run).ID, verdict
+	})
 	chosen := selection{
 		target:     choice.Run,
 		prefill:    choice.Prefill,
@@ -118,17 +124,51 @@
 
 // chooseDecode selects the engine that fetches the request's prefilled KV cache, and counts the request at it. The
 // choice made before the prefill stage may be out of date.
-func (s *service) chooseDecode(now time.Time, d placement.Demand, c selection) (selection, bool) {
+func (s *service) chooseDecode(now time.Time, d placement.Demand, c selection) (selection, waxwingpick.Verdict) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	engine, _ := c.prefill.Get()
-	target, ok := s.fleet.ChooseRun(now, d, engine)
-	if !ok {
-		return c, false
+	target, verdict := place(now, s.limits, func(exhausted waxwingpick.Set[waxwingpick.TargetID]) (waxwingpick.Target, waxwingpick.TargetID, waxwingpick.Verdict) {
+		d.Exhausted = exhausted
+		target, ok := s.fleet.ChooseRun(now, d, engine)
+		if !ok {
+			return target, "", waxwingpick.VerdictNone
+		}
+		return target, target.ID, waxwingpick.VerdictPlaced
+	})
+	if verdict != waxwingpick.VerdictPlaced {
+		return c, verdict
 	}
 	c.target = target
 	c.runStage = s.fleet.Begin(now, target.ID, d, true)
-	return c, true
+	return c, verdict
+}
+
+// place selects targets until the request limit of the target that receives the next send admits it. choose returns its
+// choice among the targets that are not exhausted, and that target.
+func place[T any](now time.Time, l *limits, choose func(exhausted waxwingpick.Set[waxwingpick.TargetID]) (T, waxwingpick.TargetID, waxwingpick.Verdict)) (T, waxwingpick.Verdict) {
+	exhausted := l.exhausted(now)
+	for {
+		choice, next, verdict := choose(exhausted)
+		switch verdict {
+		case waxwingpick.VerdictPlaced:
+			if l.take(now, next) {
+				return choice, verdict
+			}
+			// A release of KV cache used the target's last token meanwhile.
+			exhausted.Add(next)
+		case waxwingpick.VerdictNone:
+			if exhausted.Len() == 0 {
+				return choice, verdict
+			}
+			if _, _, unlimited := choose(waxwingpick.NewSet[waxwingpick.TargetID]()); unlimited != waxwingpick.VerdictNone {
+				return choice, waxwingpick.VerdictLimited
+			}
+			return choice, verdict
+		case waxwingpick.VerdictLate, waxwingpick.VerdictLimited:
+			return choice, verdict
+		}
+	}
 }
 
 // summary returns this process's load for other gateways of its zone; engines is false for a plain service.
@@ -169,7 +209,11 @@
 func (s *service) chooseTarget(now time.Time, d balance.Demand) (selection, waxwingpick.Verdict) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	choice, verdict := s.pool.Choose(now, d)
+	choice, verdict := place(now, s.limits, func(exhausted waxwingpick.Set[waxwingpick.TargetID]) (balance.Choice, waxwingpick.TargetID, waxwingpick.Verdict) {
+		d.Exhausted = exhausted
+		choice, verdict := s.pool.Choose(now, d)
+		return choice, choice.Target.ID, verdict
+	})
 	chosen := selection{
 		target:    choice.Target,
 		predicted: choice.Predicted,
--- a/internal/gateway/sinks.go
+++ b/internal/gateway/sinks.go
@@ -158,7 +158,7 @@
 	for _, name := range table.Services() {
 		s, ok := p.services[name]
 		if !ok {
-			s = newService(name, p.options)
+			s = newService(name, p.options, p.limits)
 			if n := int(p.gatewayCount.Load()); n > 0 {
 				s.setGateways(p.timers.Now(), n)
 			}
--- a/io/prometheus/gateway.go
+++ b/io/prometheus/gateway.go
@@ -33,6 +33,7 @@
 	reportAge  client.Histogram
 	targets    *client.GaugeVec
 	statements *client.CounterVec
+	limited    client.Gauge
 }
 
 // NewGateway returns metrics with a new registry.
@@ -59,10 +60,11 @@
 		}),
 		targets:    gauge("gateway_targets", "Targets of the platform's list by state.", "service", "state"),
 		statements: counter("gateway_statements_total", "Responses in which a target states something about itself, by kind.", "service", "kind"),
+		limited:    unlabeledGauge("gateway_limited_targets", "Targets with a request limit that they state."),
 	}
 	for _, c := range []client.Collector{
 		g.requests, g.responses, g.firstEvent, g.refused, g.retries, g.attempts, g.running, g.version, g.peers, g.sharing,
-		g.feedReads, g.feedAge, g.reportAge, g.targets, g.statements,
+		g.feedReads, g.feedAge, g.reportAge, g.targets, g.statements, g.limited,
 	} {
 		if err := g.registry.Register(c); err != nil {
 			return nil, fmt.Errorf("register metrics: %w", err)
@@ -167,3 +169,8 @@
 		g.statements.WithLabelValues(g.services.label(string(service)), "malformed").Inc()
 	}
 }
+
+// LimitedTargets sets the number of targets with a request limit in force.
+func (g *Gateway) LimitedTargets(n int) {
+	g.limited.Set(float64(n))
+}
--- a/verdict.go
+++ b/verdict.go
@@ -11,6 +11,8 @@
 	VerdictNone
 	// VerdictLate means that no target is predicted to respond before the deadline.
 	VerdictLate
+	// VerdictLimited means that all eligible targets have received as many requests as their stated limits allow.
+	VerdictLimited
 )
 
 // String returns the name used in logs.
@@ -22,6 +24,8 @@
 		return "noTarget"
 	case VerdictLate:
 		return "late"
+	case VerdictLimited:
+		return "limited"
 	}
 	return "unknown"
 }
