io/sidecar: a failure after the run is not taken for an attempt that was not sent

What callers could see: 'notRun' for an order that had run, and a second run under its key. Cause: the client took every status but 200 as 'not sent', while the server answers 500 when it cannot encode the result of a finished call (a load with a number that JSON has not, for example). Now only what the server rejects before the handler runs counts as not sent: client errors and 503, as the HTTP library sends them; every other status leaves the outcome open. Ruled out elsewhere: io/engine (statusCause) and io/etcd (rejectedBeforeProposal) list what did not run and leave the rest open; io/plain returns statuses as responses.

Test first: TestOrderWhoseResultIsNotEncodedRunsOnce failed with outcome notRun after one run, TestStatusTellsWhetherTheAttemptWasAccepted for 500.

--- a/io/sidecar/client.go
+++ b/io/sidecar/client.go
@@ -242,12 +242,16 @@
 	return c.credentials.Connect(ctx, raw, mtls.RoleSidecar)
 }
 
-// statusError returns the error for a response whose status means that the sidecar did not accept the attempt.
+// statusError returns the error for an unsuccessful status. A sidecar rejects attempts that it does not accept with a
+// client error or 503. It may send any other status after the run.
 func statusError(status int) error {
-	if status == http.StatusForbidden {
+	switch {
+	case status == http.StatusForbidden:
 		return fmt.Errorf("%w: %w", waxwingpick.ErrEngineUnreachable, mtls.ErrRefused)
+	case status >= http.StatusBadRequest && status < http.StatusInternalServerError, status == http.StatusServiceUnavailable:
+		return fmt.Errorf("sidecar responded with status %d: %w", status, waxwingpick.ErrEngineUnreachable)
 	}
-	return fmt.Errorf("sidecar responded with status %d: %w", status, waxwingpick.ErrEngineUnreachable)
+	return fmt.Errorf("sidecar responded with status %d: %w", status, waxwingpick.ErrEngineLost)
 }
 
 // Stream yields the frames of one attempt. It is not safe for concurrent use.
