internal/loopback: free addresses are not held by forked processes

Cause: FreeAddr opens and closes a listener; a process that is forked in between holds its descriptor until it executes its program, so that the address is still in use when the test's server binds it (earlier findings: 'address already in use' in TestResendMeetsAnEntryThatServesNothing). FreeAddr holds syscall.ForkLock for reading now, as the package net does while it opens sockets without close-on-exec.

Test first: TestFreeAddressIsHeldByNoForkedProcess failed with 6 of 1,500 addresses beside four forking loops; passes 3 of 3.

--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -7,6 +7,7 @@
 	"runtime"
 	"strconv"
 	"sync"
+	"syscall"
 
 	"github.com/rotisserie/eris"
 )
@@ -42,6 +43,9 @@
 func FreeAddr() (string, error) {
 	mu.Lock()
 	defer mu.Unlock()
+	// A process that is forked while the listener is open holds it until it executes its program.
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
 	for nextPort < endFreePort {
 		addr := net.JoinHostPort(Host(), strconv.Itoa(nextPort))
 		nextPort++
--- a/internal/loopback/loopback_test.go
+++ b/internal/loopback/loopback_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"net"
+	"os"
+	"os/exec"
 	"testing"
 
+	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
 
 	"waxwingpick/internal/loopback"
@@ -49,3 +52,40 @@
 		require.False(t, free[ln.Addr().String()], ln.Addr())
 	}
 }
+
+// TestFreeAddressIsHeldByNoForkedProcess guards against addresses that a process which was forked meanwhile holds until
+// it executes its program.
+func TestFreeAddressIsHeldByNoForkedProcess(t *testing.T) {
+	const addresses, forks = 1500, 4
+	done := make(chan struct{})
+	var forking conc.WaitGroup
+	for range forks {
+		forking.Go(func() {
+			for {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				if err := exec.Command(os.Args[0], "-test.run=^$").Run(); err != nil {
+					t.Error(err)
+					return
+				}
+			}
+		})
+	}
+	used := 0
+	for range addresses {
+		addr, err := loopback.FreeAddr()
+		require.NoError(t, err)
+		ln, err := net.Listen("tcp", addr)
+		if err != nil {
+			used++
+			continue
+		}
+		require.NoError(t, ln.Close())
+	}
+	close(done)
+	forking.Wait()
+	require.Zero(t, used, "of %d addresses", addresses)
+}
