gateway: targets that state their leave or a delay get no more requests

Ruled out: the list of targets (its 'draining' was obeyed, but may come seconds later or never).

A leave lasts as long as the incarnation of the target and is sent to the other gateways; a delay applies to the gateway that was rejected, as the rule does, until its end by monotonic time, the longest of several; a target that restarts starts clean. Changed statements are sent before others, so that many targets at once delay no news. A request that no target accepts is refused at once as not run, with the time at which the first of the service's targets accepts one, spread over as much again; its line says by what its targets are blocked.

--- a/core/balance/demand.go
+++ b/core/balance/demand.go
@@ -17,8 +17,8 @@
 	Sent bool
 	// Exclude holds the targets that were already tried.
 	Exclude []waxwingpick.TargetID
-	// Exhausted holds the targets that accept no request now because of their stated limits.
-	Exhausted waxwingpick.Set[waxwingpick.TargetID]
+	// Blocked holds the targets that accept no request now, according to what they state.
+	Blocked waxwingpick.Set[waxwingpick.TargetID]
 }
 
 // objectiveShare is the fraction of the latency objective that a predicted response may use up, since other processes
--- a/core/balance/pool.go
+++ b/core/balance/pool.go
@@ -74,7 +74,7 @@
 	Predicted time.Duration
 }
 
-// Choose selects the least loaded target that is neither excluded, exhausted nor leaving. Ejected targets are only considered if
+// Choose selects the least loaded target that is neither excluded, blocked nor leaving. Ejected targets are only considered if
 // there is no other one.
 func (p *Pool) Choose(now time.Time, d Demand) (Choice, waxwingpick.Verdict) {
 	p.rotation++
@@ -102,7 +102,7 @@
 	for i := range p.order {
 		// Targets of equal load are selected in rotation.
 		m := p.members[p.order[(i+p.rotation)%len(p.order)]]
-		if m.target.Leaving || slices.Contains(d.Exclude, m.target.ID) || d.Exhausted.Has(m.target.ID) || !all && m.health.Ejected(now) {
+		if m.target.Leaving || slices.Contains(d.Exclude, m.target.ID) || d.Blocked.Has(m.target.ID) || !all && m.health.Ejected(now) {
 			continue
 		}
 		if load := p.load(now, m); best == nil || load < least {
--- a/core/balance/pool_test.go
+++ b/core/balance/pool_test.go
@@ -216,18 +216,18 @@
 	}
 }
 
-func TestExhaustedTargetsGetNoCalls(t *testing.T) {
+func TestBlockedTargetsGetNoCalls(t *testing.T) {
 	p := balance.New("here")
 	p.SetTargets(targets(2, 2))
 	d := balance.Demand{
-		Exhausted: waxwingpick.NewSet[waxwingpick.TargetID]("a"),
+		Blocked: waxwingpick.NewSet[waxwingpick.TargetID]("a"),
 	}
 	for range 10 {
 		chosen, verdict := p.Choose(start, d)
 		require.Equal(t, waxwingpick.VerdictPlaced, verdict)
 		require.EqualValues(t, "b", chosen.Target.ID)
 	}
-	d.Exhausted.Add("b")
+	d.Blocked.Add("b")
 	_, verdict := p.Choose(start, d)
 	require.Equal(t, waxwingpick.VerdictNone, verdict)
 }
--- a/core/placement/placement.go
+++ b/core/placement/placement.go
@@ -20,8 +20,8 @@
 	Deadline time.Time
 	// Exclude holds the engines that were already tried.
 	Exclude []waxwingpick.TargetID
-	// Exhausted holds the engines that accept no request now because of their stated limits.
-	Exhausted waxwingpick.Set[waxwingpick.TargetID]
+	// Blocked holds the engines that accept no request now, according to what they state.
+	Blocked waxwingpick.Set[waxwingpick.TargetID]
 }
 
 // Choice is the selection of engines for a request.
@@ -255,7 +255,7 @@
 	if e.target.Leaving {
 		return false
 	}
-	if slices.Contains(d.Exclude, e.target.ID) || d.Exhausted.Has(e.target.ID) {
+	if slices.Contains(d.Exclude, e.target.ID) || d.Blocked.Has(e.target.ID) {
 		return false
 	}
 	return d.Prompt.Model == "" || len(e.target.Models) == 0 || slices.Contains(e.target.Models, d.Prompt.Model)
--- a/core/placement/placement_test.go
+++ b/core/placement/placement_test.go
@@ -502,14 +502,14 @@
 	require.Len(t, f.zones, maxZones)
 }
 
-func TestExhaustedEnginesGetNoStage(t *testing.T) {
+func TestBlockedEnginesGetNoStage(t *testing.T) {
 	prefill := engineTarget("p", waxwingpick.RolePrefill)
 	f := fleetOf(engineTarget("d", waxwingpick.RoleDecode), engineTarget("e", waxwingpick.RoleDecode), prefill)
 	d := demand("a", 20_000)
 	choice, verdict := f.Choose(start, d)
 	require.Equal(t, waxwingpick.VerdictPlaced, verdict)
 	require.Equal(t, prefill, choice.Prefill.OrElse(waxwingpick.Target{}))
-	d.Exhausted = waxwingpick.NewSet[waxwingpick.TargetID]("p", "d")
+	d.Blocked = waxwingpick.NewSet[waxwingpick.TargetID]("p", "d")
 	choice, verdict = f.Choose(start, d)
 	require.Equal(t, waxwingpick.VerdictPlaced, verdict)
 	require.EqualValues(t, "e", choice.Run.ID)
@@ -518,7 +518,7 @@
 	run, ok := f.ChooseRun(start, d, prefill)
 	require.True(t, ok)
 	require.EqualValues(t, "e", run.ID)
-	d.Exhausted.Add("e")
+	d.Blocked.Add("e")
 	_, verdict = f.Choose(start, d)
 	require.Equal(t, waxwingpick.VerdictNone, verdict)
 }
--- a/core/targetlimit/processes.go
+++ b/core/sendgate/processes.go
@@ -1,4 +1,4 @@
-package targetlimit
+package sendgate
 
 import (
 	"slices"
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -92,8 +92,8 @@
 	case waxwingpick.VerdictLate:
 		after := min(maxLateRetryAfter, max(minLateRetryAfter, chosen.predicted-x.route.LatencyObjective))
 		refusal = waxwingpick.NotRun(waxwingpick.ReasonDeadline, after, "no target can meet the latency objective")
-	case waxwingpick.VerdictLimited:
-		refusal = waxwingpick.NotRun(waxwingpick.ReasonOverload, x.process.limits.retryAfter(now), "the targets state request limits that are used up")
+	case waxwingpick.VerdictBlocked:
+		refusal = waxwingpick.NotRun(waxwingpick.ReasonOverload, x.service.blockedRetryAfter(now), "no target accepts requests now by what the targets state")
 	case waxwingpick.VerdictPlaced:
 		panic("refusal of a placed request")
 	}
@@ -166,7 +166,7 @@
 		ResumeAfter: x.resumeAfter(),
 		Stream:      x.route.Kind == waxwingpick.RequestStream,
 	})
-	x.observeStatement(sentAt, chosen.target, reply.Statement)
+	x.observeStatement(sentAt, chosen.target, reply.Statement, !reply.NotRun)
 	s := x.classify(reply, err)
 	if s.refusal != nil {
 		if s.unsent() {
@@ -182,14 +182,15 @@
 	return chosen, s
 }
 
-// observeStatement applies what a target states about itself in a response.
-func (x *exchange) observeStatement(sentAt time.Time, t waxwingpick.Target, stated waxwingpick.Option[waxwingpick.Statement]) {
+// observeStatement applies what a target states about itself in a response. ran means that the target processed the
+// request.
+func (x *exchange) observeStatement(sentAt time.Time, t waxwingpick.Target, stated waxwingpick.Option[waxwingpick.Statement], ran bool) {
 	s, ok := stated.Get()
 	if !ok {
 		return
 	}
 	x.process.options.Metrics.Statement(x.service.name, s)
-	x.process.limits.observe(x.process.timers.Now(), sentAt, t, s)
+	x.process.statements.observe(x.process.timers.Now(), sentAt, t, s, ran)
 }
 
 // discountUnsent excludes a send that did not reach its target from the count that bounds all sends.
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -44,6 +44,9 @@
 		waxwingpick.In("service", x.service.name),
 		waxwingpick.InMillis("predicted", predicted),
 	}, waxwingpick.RefusalInputs(refusal)...)
+	if verdict == waxwingpick.VerdictBlocked {
+		inputs = append(inputs, waxwingpick.In("blockedBy", x.service.blockedBy(now)))
+	}
 	x.trail.AddNotable(waxwingpick.ActionChoose.Of(now, verdict.String(), inputs...))
 }
 
@@ -75,8 +78,14 @@
 	if limit, ok := s.RequestLimit.Get(); ok {
 		inputs = append(inputs, waxwingpick.In("requestLimit", limit))
 	}
-	if s.Malformed != "" {
-		inputs = append(inputs, waxwingpick.In("malformedLimit", s.Malformed))
+	if s.Leaving {
+		inputs = append(inputs, waxwingpick.In("targetLeaves", true))
+	}
+	if delay, ok := s.RetryAfter.Get(); ok {
+		inputs = append(inputs, waxwingpick.InMillis("targetRetryAfter", delay))
+	}
+	if len(s.Malformed) > 0 {
+		inputs = append(inputs, waxwingpick.In("malformed", s.Malformed))
 	}
 	return inputs
 }
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -91,7 +91,7 @@
 		remote:           make(map[waxwingpick.AvailabilityZone]remoteDigest),
 	}
 	p.crashTracker.broadcast = g.sendCrashes
-	p.limits.publish = g.sendLimits
+	p.statements.publish = g.sendStatements
 	return g
 }
 
@@ -267,8 +267,8 @@
 		g.follower.applyUpdate(g.process.timers.Now(), update)
 		return
 	}
-	if len(encoded) > 0 && encoded[0] == limitsKind {
-		g.receiveLimits(g.process.timers.Now(), encoded)
+	if len(encoded) > 0 && encoded[0] == statementsKind {
+		g.receiveStatements(g.process.timers.Now(), encoded)
 		return
 	}
 	var m message
@@ -280,7 +280,7 @@
 
 func (g *gossip) applyMessage(now time.Time, m message) {
 	g.process.crashTracker.apply(now, m.Crashes)
-	g.process.limits.processSeen(now, m.From)
+	g.process.statements.processSeen(now, m.From)
 	sameZone := m.Zone == g.process.options.Zone
 	g.mu.Lock()
 	if sameZone || len(m.Digests) > 0 {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -139,7 +139,7 @@
 	s.loggedCount = n
 	s.mu.Unlock()
 	s.process.setGateways(now, 1+n)
-	s.process.limits.setProcesses(now, s.ids())
+	s.process.statements.setProcesses(now, s.ids())
 	if !changed {
 		return
 	}
--- a/internal/gateway/prefill.go
+++ b/internal/gateway/prefill.go
@@ -33,7 +33,7 @@
 		Priority:  x.route.Priority,
 	})
 	now := x.process.timers.Now()
-	x.observeStatement(sentAt, engine, prefilled.Statement)
+	x.observeStatement(sentAt, engine, prefilled.Statement, err == nil)
 	if err == nil {
 		x.prefills++
 		x.service.prefilled(now, chosen)
@@ -121,8 +121,8 @@
 	x.cache = waxwingpick.None[prefilledCache]()
 	p := x.process
 	engine := cache.chosen.prefill.OrElse(cache.chosen.target)
-	if !p.limits.take(p.timers.Now(), engine.ID) {
-		p.log.WithField("target", engine.ID).Debug("KV cache not released because of the target's request limit; it expires at its engine")
+	if !p.statements.take(p.timers.Now(), engine.ID) {
+		p.log.WithField("target", engine.ID).Debug("KV cache not released because its engine accepts no requests; it expires there")
 		return
 	}
 	p.loops.Go(func() {
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -36,7 +36,7 @@
 	trails       *trail.Log
 	gate         *drain.Gate
 	crashTracker *crashTracker
-	limits       *limits
+	statements   *statements
 
 	table atomic.Pointer[routetable.Table]
 
@@ -72,7 +72,7 @@
 		list:     targetlist.New(),
 		services: make(map[waxwingpick.ServiceName]*service),
 	}
-	p.limits = newLimits(p)
+	p.statements = newStatements(p)
 	var err error
 	if p.gate, err = drain.New(drain.WithLameDuck(o.LameDuck), drain.WithEnd(o.StopTimeout)); err != nil {
 		return nil, fmt.Errorf("create drain gate: %w", err)
@@ -103,7 +103,7 @@
 	} else {
 		p.loops.Go(newFollower(p, sinks...).run)
 	}
-	p.stops = append(p.stops, p.timers.Every(limitsInterval, p.limits.sync))
+	p.stops = append(p.stops, p.timers.Every(statementsInterval, p.statements.sync))
 }
 
 // Drain turns readiness off and waits until no request runs or ctx ends.
--- a/internal/gateway/process_test.go
+++ b/internal/gateway/process_test.go
@@ -90,7 +90,7 @@
 			Retries: retry.Bounds{
 				Window: time.Second,
 			},
-		}, newLimits(&Process{
+		}, newStatements(&Process{
 			options: Options{
 				Instance: "gateway",
 			},
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -16,36 +16,41 @@
 
 // service holds the targets of one service and selects among them. Its methods are safe for concurrent use.
 type service struct {
-	name   waxwingpick.ServiceName
-	log    logrus.FieldLogger
-	limits *limits
+	name       waxwingpick.ServiceName
+	log        logrus.FieldLogger
+	statements *statements
 
 	mu      sync.Mutex
 	engines bool
 	fleet   *placement.Fleet
 	pool    *balance.Pool
 	retries *retry.Policy
+	targets []waxwingpick.TargetID
 }
 
-func newService(name waxwingpick.ServiceName, o Options, l *limits) *service {
+func newService(name waxwingpick.ServiceName, o Options, st *statements) *service {
 	retries, err := retry.New(retry.Rand(newRandom()), retry.WithSharedBudget(o.Retries))
 	if err != nil {
 		// The bounds were checked with the options, so only a nil random source could fail.
 		panic(err)
 	}
 	return &service{
-		name:    name,
-		log:     o.Log,
-		limits:  l,
-		fleet:   placement.New(o.Zone),
-		pool:    balance.New(o.Zone),
-		retries: retries,
+		name:       name,
+		log:        o.Log,
+		statements: st,
+		fleet:      placement.New(o.Zone),
+		pool:       balance.New(o.Zone),
+		retries:    retries,
 	}
 }
 
 func (s *service) update(targets []waxwingpick.Target, config routetable.Service) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.targets = s.targets[:0]
+	for _, t := range targets {
+		s.targets = append(s.targets, t.ID)
+	}
 	engineTraits, engines := config.Engines.Get()
 	s.engines = engines
 	if engines {
@@ -98,8 +103,8 @@
 func (s *service) chooseEngines(now time.Time, d placement.Demand) (selection, waxwingpick.Verdict) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	choice, verdict := place(now, s.limits, func(exhausted waxwingpick.Set[waxwingpick.TargetID]) (placement.Choice, waxwingpick.TargetID, waxwingpick.Verdict) {
-		d.Exhausted = exhausted
+	choice, verdict := place(now, s.statements, func(blocked waxwingpick.Set[waxwingpick.TargetID]) (placement.Choice, waxwingpick.TargetID, waxwingpick.Verdict) {
+		d.Blocked = blocked
 		choice, verdict := s.fleet.Choose(now, d)
 		return choice, choice.Prefill.OrElse(choice.Run).ID, verdict
 	})
@@ -128,8 +133,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	engine, _ := c.prefill.Get()
-	target, verdict := place(now, s.limits, func(exhausted waxwingpick.Set[waxwingpick.TargetID]) (waxwingpick.Target, waxwingpick.TargetID, waxwingpick.Verdict) {
-		d.Exhausted = exhausted
+	target, verdict := place(now, s.statements, func(blocked waxwingpick.Set[waxwingpick.TargetID]) (waxwingpick.Target, waxwingpick.TargetID, waxwingpick.Verdict) {
+		d.Blocked = blocked
 		target, ok := s.fleet.ChooseRun(now, d, engine)
 		if !ok {
 			return target, "", waxwingpick.VerdictNone
@@ -144,28 +149,28 @@
 	return c, verdict
 }
 
-// place selects targets until the request limit of the target that receives the next send admits it. choose returns its
-// choice among the targets that are not exhausted, and that target.
-func place[T any](now time.Time, l *limits, choose func(exhausted waxwingpick.Set[waxwingpick.TargetID]) (T, waxwingpick.TargetID, waxwingpick.Verdict)) (T, waxwingpick.Verdict) {
-	exhausted := l.exhausted(now)
+// place selects targets until the gate admits the next send. choose returns its choice among the targets that are not
+// blocked, and the target that receives the next send.
+func place[T any](now time.Time, st *statements, choose func(blocked waxwingpick.Set[waxwingpick.TargetID]) (T, waxwingpick.TargetID, waxwingpick.Verdict)) (T, waxwingpick.Verdict) {
+	blocked := st.blocked(now)
 	for {
-		choice, next, verdict := choose(exhausted)
+		choice, next, verdict := choose(blocked)
 		switch verdict {
 		case waxwingpick.VerdictPlaced:
-			if l.take(now, next) {
+			if st.take(now, next) {
 				return choice, verdict
 			}
 			// A release of KV cache used the target's last token meanwhile.
-			exhausted.Add(next)
+			blocked.Add(next)
 		case waxwingpick.VerdictNone:
-			if exhausted.Len() == 0 {
+			if blocked.Len() == 0 {
 				return choice, verdict
 			}
-			if _, _, unlimited := choose(waxwingpick.NewSet[waxwingpick.TargetID]()); unlimited != waxwingpick.VerdictNone {
-				return choice, waxwingpick.VerdictLimited
+			if _, _, open := choose(waxwingpick.NewSet[waxwingpick.TargetID]()); open != waxwingpick.VerdictNone {
+				return choice, waxwingpick.VerdictBlocked
 			}
 			return choice, verdict
-		case waxwingpick.VerdictLate, waxwingpick.VerdictLimited:
+		case waxwingpick.VerdictLate, waxwingpick.VerdictBlocked:
 			return choice, verdict
 		}
 	}
@@ -209,8 +214,8 @@
 func (s *service) chooseTarget(now time.Time, d balance.Demand) (selection, waxwingpick.Verdict) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	choice, verdict := place(now, s.limits, func(exhausted waxwingpick.Set[waxwingpick.TargetID]) (balance.Choice, waxwingpick.TargetID, waxwingpick.Verdict) {
-		d.Exhausted = exhausted
+	choice, verdict := place(now, s.statements, func(blocked waxwingpick.Set[waxwingpick.TargetID]) (balance.Choice, waxwingpick.TargetID, waxwingpick.Verdict) {
+		d.Blocked = blocked
 		choice, verdict := s.pool.Choose(now, d)
 		return choice, choice.Target.ID, verdict
 	})
@@ -224,6 +229,20 @@
 	return chosen, verdict
 }
 
+// blockedRetryAfter returns when a request is useful again that no target accepts because of what the targets state.
+func (s *service) blockedRetryAfter(now time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.statements.retryAfter(now, s.targets)
+}
+
+// blockedBy counts the targets that accept no request now, by the kind of statement.
+func (s *service) blockedBy(now time.Time) map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.statements.blockedBy(now, s.targets)
+}
+
 // selection is the choice of targets for one attempt.
 type selection struct {
 	target     waxwingpick.Target
--- a/internal/gateway/sinks.go
+++ b/internal/gateway/sinks.go
@@ -150,7 +150,9 @@
 	p.listMu.Lock()
 	defer p.listMu.Unlock()
 	byService := make(map[waxwingpick.ServiceName][]waxwingpick.Target)
-	for _, t := range p.list.Targets() {
+	targets := p.list.Targets()
+	p.statements.setTargets(p.timers.Now(), targets)
+	for _, t := range targets {
 		byService[t.Service] = append(byService[t.Service], t)
 	}
 	p.servicesMu.Lock()
@@ -158,7 +160,7 @@
 	for _, name := range table.Services() {
 		s, ok := p.services[name]
 		if !ok {
-			s = newService(name, p.options, p.limits)
+			s = newService(name, p.options, p.statements)
 			if n := int(p.gatewayCount.Load()); n > 0 {
 				s.setGateways(p.timers.Now(), n)
 			}
--- a/internal/limitfleet/fleet.go
+++ b/internal/limitfleet/fleet.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"waxwingpick"
-	"waxwingpick/core/targetlimit"
+	"waxwingpick/core/sendgate"
 )
 
 const (
@@ -43,8 +43,8 @@
 
 // process is one process of the fleet.
 type process struct {
-	id     waxwingpick.InstanceID
-	limits *targetlimit.Limits
+	id   waxwingpick.InstanceID
+	gate *sendgate.Gate
 	// started is the time of the last start, and excused the end of the last freeze or cut.
 	started     time.Time
 	excused     time.Time
@@ -169,7 +169,7 @@
 
 // restart starts a new incarnation of a process, which knows no limits.
 func (f *Fleet) restart(p *process) {
-	p.limits = targetlimit.New(p.id, time.Duration(f.rand.IntN(int(targetlimit.TTLJitter))))
+	p.gate = sendgate.New(p.id, time.Duration(f.rand.IntN(int(sendgate.TTLJitter))))
 	p.started = f.now
 	p.killedAt = time.Time{}
 	p.told = make(map[waxwingpick.TargetID]time.Time)
@@ -187,7 +187,7 @@
 			listed = append(listed, other.id)
 		}
 	}
-	p.limits.SetProcesses(f.now, listed)
+	p.gate.SetProcesses(f.now, listed)
 }
 
 // Kill kills a process, or restarts it if it is not running.
@@ -293,8 +293,8 @@
 			continue
 		}
 		f.setList(p)
-		p.limits.Changes(f.now)
-		if reports := p.limits.Reports(f.now); len(reports) > 0 {
+		p.gate.Changes(f.now)
+		if reports := p.gate.Reports(f.now); len(reports) > 0 {
 			for _, to := range f.receivers(p) {
 				f.send(p, to, reports)
 			}
@@ -319,7 +319,7 @@
 	return others[:fanOut]
 }
 
-func (f *Fleet) send(from, to *process, reports []targetlimit.Report) {
+func (f *Fleet) send(from, to *process, reports []sendgate.Report) {
 	f.messages++
 	f.reports += len(reports)
 	if f.rand.Float64() < f.faults.Loss || f.now.Before(from.cutUntil) || f.now.Before(to.cutUntil) {
@@ -335,9 +335,9 @@
 			if !to.alive() || f.now.Before(to.frozenUntil) || f.unaware {
 				return
 			}
-			to.limits.ProcessSeen(f.now, from.id)
+			to.gate.ProcessSeen(f.now, from.id)
 			for _, r := range reports {
-				to.limits.Apply(f.now, r)
+				to.gate.Apply(f.now, r)
 			}
 		},
 	})
@@ -345,11 +345,11 @@
 
 // request sends a request to a random target that may receive one.
 func (f *Fleet) request(p *process) {
-	exhausted := p.limits.Exhausted(f.now)
+	blocked := p.gate.Blocked(f.now)
 	first := f.rand.IntN(len(f.targets))
 	for i := range f.targets {
 		t := f.targets[(first+i)%len(f.targets)]
-		if exhausted.Has(t.info.ID) || !p.limits.Take(f.now, t.info.ID) {
+		if blocked.Has(t.info.ID) || !p.gate.Take(f.now, t.info.ID) {
 			continue
 		}
 		p.served++
@@ -374,15 +374,13 @@
 			if !p.alive() || p.started != started || f.now.Before(p.frozenUntil) {
 				return
 			}
-			perSecond, limited := stated.Get()
-			if !limited {
-				p.limits.NotStated(f.now, sentAt, t.info)
-				return
-			}
-			if _, ok := p.told[t.info.ID]; !ok {
+			_, limited := stated.Get()
+			if _, ok := p.told[t.info.ID]; limited && !ok {
 				p.told[t.info.ID] = f.now
 			}
-			p.limits.Stated(f.now, t.info, perSecond)
+			p.gate.Observe(f.now, sentAt, t.info, waxwingpick.Statement{
+				RequestLimit: stated,
+			}, true)
 		},
 	})
 }
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -53,6 +53,10 @@
 	ResponseDelay time.Duration
 	// RequestLimit is the request limit that every response states, unless empty.
 	RequestLimit string
+	// Leaving makes every response state that the target leaves.
+	Leaving bool
+	// RetryAfter is the time in seconds that responses to rejected requests state, unless empty.
+	RetryAfter string
 	// CrashOn is the request body that crashes the target when it runs the request. It is down for its restart time.
 	CrashOn string
 }
@@ -180,12 +184,18 @@
 	if faults.RequestLimit != "" {
 		c.Set("Server-Limit", faults.RequestLimit)
 	}
+	if faults.Leaving {
+		c.Set("Server-Leaving", "1")
+	}
 	switch {
 	case faults.Full:
 		t.mu.Lock()
 		t.refused++
 		t.mu.Unlock()
 		c.Set("Waxwingpick-Not-Executed", "1")
+		if faults.RetryAfter != "" {
+			c.Set("Retry-After", faults.RetryAfter)
+		}
 		return c.SendStatus(http.StatusServiceUnavailable)
 	case c.Get("Waxwingpick-Serving-Stage") == "prefill":
 		return t.prefill(c)
--- a/io/prometheus/gateway.go
+++ b/io/prometheus/gateway.go
@@ -33,7 +33,7 @@
 	reportAge  client.Histogram
 	targets    *client.GaugeVec
 	statements *client.CounterVec
-	limited    client.Gauge
+	stated     *client.GaugeVec
 }
 
 // NewGateway returns metrics with a new registry.
@@ -60,11 +60,11 @@
 		}),
 		targets:    gauge("gateway_targets", "Targets of the platform's list by state.", "service", "state"),
 		statements: counter("gateway_statements_total", "Responses in which a target states something about itself, by kind.", "service", "kind"),
-		limited:    unlabeledGauge("gateway_limited_targets", "Targets with a request limit that they state."),
+		stated:     gauge("gateway_stated_targets", "Targets by the statements about themselves that apply.", "kind"),
 	}
 	for _, c := range []client.Collector{
 		g.requests, g.responses, g.firstEvent, g.refused, g.retries, g.attempts, g.running, g.version, g.peers, g.sharing,
-		g.feedReads, g.feedAge, g.reportAge, g.targets, g.statements, g.limited,
+		g.feedReads, g.feedAge, g.reportAge, g.targets, g.statements, g.stated,
 	} {
 		if err := g.registry.Register(c); err != nil {
 			return nil, fmt.Errorf("register metrics: %w", err)
@@ -160,17 +160,23 @@
 	g.targets.WithLabelValues(label, "leaving").Set(float64(leaving))
 }
 
-// Statement counts a response in which a target states something about itself.
+// Statement counts a response in which a target states something about itself, by kind.
 func (g *Gateway) Statement(service waxwingpick.ServiceName, s waxwingpick.Statement) {
-	if _, ok := s.RequestLimit.Get(); ok {
-		g.statements.WithLabelValues(g.services.label(string(service)), "requestLimit").Inc()
-	}
-	if s.Malformed != "" {
-		g.statements.WithLabelValues(g.services.label(string(service)), "malformed").Inc()
+	_, limited := s.RequestLimit.Get()
+	_, delayed := s.RetryAfter.Get()
+	for kind, stated := range map[string]bool{
+		"requestLimit": limited,
+		"leaving":      s.Leaving,
+		"retryAfter":   delayed,
+		"malformed":    len(s.Malformed) > 0,
+	} {
+		if stated {
+			g.statements.WithLabelValues(g.services.label(string(service)), kind).Inc()
+		}
 	}
 }
 
-// LimitedTargets sets the number of targets with a request limit in force.
-func (g *Gateway) LimitedTargets(n int) {
-	g.limited.Set(float64(n))
+// Stated sets the number of targets to which a kind of statement applies: requestLimit, leaving or retryAfter.
+func (g *Gateway) Stated(kind string, n int) {
+	g.stated.WithLabelValues(kind).Set(float64(n))
 }
--- a/verdict.go
+++ b/verdict.go
@@ -11,8 +11,8 @@
 	VerdictNone
 	// VerdictLate means that no target is predicted to respond before the deadline.
 	VerdictLate
-	// VerdictLimited means that all eligible targets have received as many requests as their stated limits allow.
-	VerdictLimited
+	// VerdictBlocked means that no eligible target accepts requests now, according to what the targets state.
+	VerdictBlocked
 )
 
 // String returns the name used in logs.
@@ -24,8 +24,8 @@
 		return "noTarget"
 	case VerdictLate:
 		return "late"
-	case VerdictLimited:
-		return "limited"
+	case VerdictBlocked:
+		return "blocked"
 	}
 	return "unknown"
 }
