core/sendgate: an owner grants the tokens of a limit, so that all gateways use it

Cause: equal parts for some gateways hold a limit and starve the others. Weighed: core/quota, whose base of 4 requests at each entry exceeds a window; shares by demand in gossip, too old for what one request in minutes of each gateway needs.

Now the first process of a rendezvous hash owns a limit (one for each 40 a second) and grants tokens to whoever asks; a request whose target needs a token waits for one round trip, 50 ms at most, twice at most. The owner spaces the asks, a gateway sends at most 50 a second, an owner that does not answer is replaced.

An answer that arrives twice counts once.

--- a/core/sendgate/change.go
+++ b/core/sendgate/change.go
@@ -41,9 +41,9 @@
 	Kind   Kind
 	// Limit is the limit in force in requests per second; none if it was withdrawn or expired.
 	Limit waxwingpick.Option[float64]
-	// Share is this process's part of the limit, and Sharers the number of processes that share it.
-	Share   float64
-	Sharers int
+	// Owner is the process that this one asks for tokens, and Owners the number of processes that give out the limit.
+	Owner  waxwingpick.InstanceID
+	Owners int
 	// Age is the time since the target stated its limit or its leave.
 	Age time.Duration
 	// Delay is the time left of a delay.
@@ -74,7 +74,6 @@
 	var changes []Change
 	last := &e.logged
 	if e.limit.value != last.limit && now.Sub(last.limitAt) >= logInterval {
-		g.refill(now, id, &e.limit)
 		c := Change{
 			Target: id,
 			Kind:   KindLimit,
@@ -84,7 +83,8 @@
 			c.Age = now.Sub(e.limit.statedAt)
 		}
 		if _, limited := e.limit.value.Get(); limited {
-			c.Share, c.Sharers = e.limit.rate, e.limit.sharers
+			g.update(now, id, &e.limit)
+			c.Owner, c.Owners = e.limit.owner, len(e.limit.owners)
 		}
 		changes = append(changes, c)
 		last.limit, last.limitAt = e.limit.value, now
--- a/core/sendgate/doc.go
+++ b/core/sendgate/doc.go
@@ -3,10 +3,10 @@
 // requests of this process for some time.
 //
 // The load pattern is a target in need, at a time when each process sends it several times as many requests as it
-// accepts. A process that has received a limit, from the target or from another process, sends only its share of it.
-// Shares need no messages: the processes that may send to a target are the first ones of a rendezvous hash over all known
-// processes, and each of them gets an equal part. They are few enough that one request of each at the same time stays
-// within the target's tolerance.
+// accepts. A limit belongs to one process, its owner, which is found by rendezvous hashing; large limits are divided
+// among several. A process that wants to send a request asks the owner for a token, and learns when to ask again if there
+// is none, so that a limit is used by whichever process has requests and the number of messages does not grow with the
+// fleet. An owner that does not answer is replaced by the next one.
 //
 // Every send passes the gate at the time when its target is chosen, so that a statement also applies to requests that
 // waited or ran elsewhere in the meantime.
--- a/core/sendgate/gate.go
+++ b/core/sendgate/gate.go
@@ -29,10 +29,16 @@
 	changed    bool
 	// nextReport is the index of the target with which the next refresh begins.
 	nextReport int
+	// pings holds the processes that are checked, and jitter returns random numbers from 0 to 1.
+	pings  waxwingpick.Set[waxwingpick.InstanceID]
+	jitter func() float64
+	// askBudget bounds the asks for tokens.
+	askBudget bucket
 }
 
 // target is the state of one incarnation of a target.
 type target struct {
+	id              waxwingpick.TargetID
 	startUnixMillis int64
 	limit           limit
 	// leavingAt is when the target stated that it leaves; zero if it did not.
@@ -44,10 +50,15 @@
 	logged     logged
 }
 
-// New returns the state of a process that knows no statements and no other processes. jitter is at most TTLJitter.
-func New(self waxwingpick.InstanceID, jitter time.Duration) *Gate {
+// New returns the state of a process that knows no statements and no other processes. random returns numbers from 0 to 1.
+func New(self waxwingpick.InstanceID, random func() float64) *Gate {
 	return &Gate{
-		ttl:       limitTTL + jitter,
+		ttl:    limitTTL + time.Duration(random()*float64(TTLJitter)),
+		jitter: random,
+		askBudget: bucket{
+			rate:  maxAskRate,
+			burst: maxAskBurst,
+		},
 		processes: newProcesses(self),
 		targets:   make(map[waxwingpick.TargetID]*target),
 	}
@@ -61,11 +72,17 @@
 	g.processes.expire(now)
 }
 
-// ProcessSeen records a message of another process, which may be missing in the list.
+// ProcessSeen records a message of another process, which may be missing in the list. It does not show that the process
+// answers asks: processes of former versions do not.
 func (g *Gate) ProcessSeen(now time.Time, id waxwingpick.InstanceID) {
 	g.processes.observe(now, id)
 }
 
+// Heard records a message of another process with statements.
+func (g *Gate) Heard(now time.Time, id waxwingpick.InstanceID) {
+	g.processes.heard(now, id)
+}
+
 // Observe applies what a target states in the response to a request that was sent at sentAt. ran means that the target
 // processed the request; only such a response withdraws a limit by not stating it.
 func (g *Gate) Observe(now, sentAt time.Time, t waxwingpick.Target, s waxwingpick.Statement, ran bool) {
@@ -77,7 +94,7 @@
 			return
 		}
 		if limited {
-			g.setLimit(now, t.ID, e, waxwingpick.Some(limit), now)
+			g.setLimit(now, e, waxwingpick.Some(limit), now)
 		}
 		if delayed && now.Add(delay).After(e.delayedUntil) {
 			e.delayedUntil = now.Add(delay)
@@ -89,7 +106,7 @@
 	// A response to a request that was sent before the limit was stated may be older than it.
 	if e, ok := g.targets[t.ID]; ok && !limited && ran && len(s.Malformed) == 0 && e.startUnixMillis <= t.StartUnixMillis {
 		if e = g.track(now, t.ID, t.StartUnixMillis); e != nil {
-			g.setLimit(now, t.ID, e, waxwingpick.None[float64](), sentAt)
+			g.setLimit(now, e, waxwingpick.None[float64](), sentAt)
 		}
 	}
 }
@@ -116,10 +133,8 @@
 		}
 	}
 	next := &target{
+		id:              id,
 		startUnixMillis: startUnixMillis,
-		limit: limit{
-			refilledAt: now,
-		},
 	}
 	if ok {
 		next.logged = e.logged
@@ -161,24 +176,20 @@
 	return !e.leavingAt.IsZero() && now.Sub(e.leavingAt) <= leaveTTL
 }
 
-// Blocked returns the targets to which no request may be sent now.
-func (g *Gate) Blocked(now time.Time) waxwingpick.Set[waxwingpick.TargetID] {
+// Blocked returns the targets to which no request may be sent now. If mayAsk is set, it leaves out those whose owner may
+// be asked for a token.
+func (g *Gate) Blocked(now time.Time, mayAsk bool) waxwingpick.Set[waxwingpick.TargetID] {
 	var blocked waxwingpick.Set[waxwingpick.TargetID]
 	g.expire(now)
 	for id, e := range g.targets {
-		if !g.open(now, id, e) {
+		kind, ok := g.blockedBy(now, id, e).Get()
+		if ok && !(mayAsk && kind == KindLimit && g.askable(now, &e.limit)) {
 			blocked.Add(id)
 		}
 	}
 	return blocked
 }
 
-// open reports whether a request may be sent to a target now.
-func (g *Gate) open(now time.Time, id waxwingpick.TargetID, e *target) bool {
-	_, blocked := g.blockedBy(now, id, e).Get()
-	return !blocked
-}
-
 // BlockedBy returns the kind of statement that blocks a target now; none if a request may be sent to it.
 func (g *Gate) BlockedBy(now time.Time, id waxwingpick.TargetID) waxwingpick.Option[Kind] {
 	e, ok := g.targets[id]
@@ -194,27 +205,30 @@
 		return waxwingpick.Some(KindLeave)
 	case now.Before(e.delayedUntil):
 		return waxwingpick.Some(KindDelay)
-	case !g.hasToken(now, id, &e.limit):
+	case g.token(now, id, &e.limit) == sourceNone:
 		return waxwingpick.Some(KindLimit)
 	}
 	return waxwingpick.None[Kind]()
 }
 
-// Take counts a request that is about to be sent to a target. It returns false if the request must not be sent.
-func (g *Gate) Take(now time.Time, id waxwingpick.TargetID) bool {
+// Take decides whether a request may be sent to a target now, and counts it as sent if it may.
+func (g *Gate) Take(now time.Time, id waxwingpick.TargetID) Admission {
 	e, ok := g.targets[id]
 	if !ok {
-		return true
+		return AdmissionTaken
 	}
-	if !g.open(now, id, e) {
-		return false
+	if kind, blocked := g.blockedBy(now, id, e).Get(); blocked {
+		if kind == KindLimit && g.askable(now, &e.limit) {
+			return AdmissionAsk
+		}
+		return AdmissionRefused
 	}
-	e.limit.take()
-	return true
+	e.limit.take(now, g.token(now, id, &e.limit))
+	return AdmissionTaken
 }
 
-// Wait returns the time until the next request may be sent to a target; none if it leaves, or if this process has no
-// share of its limit.
+// Wait returns the time until the next request may be sent to a target, as far as known; none if it leaves or accepts no
+// requests.
 func (g *Gate) Wait(now time.Time, id waxwingpick.TargetID) waxwingpick.Option[time.Duration] {
 	e, ok := g.targets[id]
 	if !ok {
--- a/core/sendgate/processes.go
+++ b/core/sendgate/processes.go
@@ -1,7 +1,6 @@
 package sendgate
 
 import (
-	"slices"
 	"time"
 
 	"waxwingpick"
@@ -14,60 +13,131 @@
 	processRetention = time.Minute
 	// maxProcesses bounds the processes that are tracked.
 	maxProcesses = 1024
-	// minSharers and sharersPerRequest determine how many processes share a limit. Each of them may hold an unused token,
-	// so their number bounds the requests beyond the limit's rate.
-	minSharers        = 4
-	sharersPerRequest = 0.3
+	// suspectAsks is the number of unanswered asks, and suspectTime the time since the first of them, after which a process
+	// is suspected to have failed and owns no limits.
+	suspectAsks = 2
+	suspectTime = 150 * time.Millisecond
+	// suspicionTTL is the time after which a suspected process is asked again.
+	suspicionTTL = 2 * time.Second
 )
 
-// processes tracks the processes that may send requests to targets.
+// process is another process that may send requests to targets.
+type process struct {
+	// seenAt is when it was last listed or seen.
+	seenAt time.Time
+	// unanswered counts the asks since its last message, and askedAt is the time of the first of them.
+	unanswered int
+	askedAt    time.Time
+	// suspectedAt is when it became suspected; zero if it is not.
+	suspectedAt time.Time
+}
+
+// processes tracks the processes that may own limits.
 type processes struct {
-	self   waxwingpick.InstanceID
-	seenAt map[waxwingpick.InstanceID]time.Time
-	ids    []waxwingpick.InstanceID
-	// version is the number of the list of processes; it is never zero.
+	self  waxwingpick.InstanceID
+	known map[waxwingpick.InstanceID]*process
+	// asked holds the processes with unanswered asks.
+	asked waxwingpick.Set[waxwingpick.InstanceID]
+	// version is the number of the list of processes that are not suspected; it is never zero.
 	version int
 }
 
 func newProcesses(self waxwingpick.InstanceID) *processes {
 	return &processes{
 		self:    self,
-		seenAt:  make(map[waxwingpick.InstanceID]time.Time),
-		ids:     []waxwingpick.InstanceID{self},
+		known:   make(map[waxwingpick.InstanceID]*process),
 		version: 1,
 	}
 }
 
-func (p *processes) observe(now time.Time, id waxwingpick.InstanceID) {
+// observe records that a process is listed or was seen.
+func (p *processes) observe(now time.Time, id waxwingpick.InstanceID) *process {
 	if id == p.self || id == "" {
-		return
+		return nil
 	}
-	if _, ok := p.seenAt[id]; !ok {
-		if len(p.seenAt) >= maxProcesses {
-			return
+	known, ok := p.known[id]
+	if !ok {
+		if len(p.known) >= maxProcesses {
+			return nil
 		}
-		p.ids = append(p.ids, id)
+		known = &process{}
+		p.known[id] = known
+		p.version++
+	}
+	known.seenAt = now
+	return known
+}
+
+// heard records a message that shows that a process answers asks.
+func (p *processes) heard(now time.Time, id waxwingpick.InstanceID) {
+	if known := p.observe(now, id); known != nil {
+		p.trust(id)
+	}
+}
+
+// trust ends the suspicion of a process.
+func (p *processes) trust(id waxwingpick.InstanceID) {
+	known, ok := p.known[id]
+	if !ok {
+		return
+	}
+	if !known.suspectedAt.IsZero() {
 		p.version++
 	}
-	p.seenAt[id] = now
+	known.unanswered, known.suspectedAt = 0, time.Time{}
+	p.asked.Remove(id)
+}
+
+// ask records that a process is asked and has to answer.
+func (p *processes) ask(now time.Time, id waxwingpick.InstanceID) {
+	known, ok := p.known[id]
+	if !ok {
+		return
+	}
+	if known.unanswered++; known.unanswered == 1 {
+		known.askedAt = now
+		p.asked.Add(id)
+	}
+}
+
+// refresh updates the suspicions.
+func (p *processes) refresh(now time.Time) {
+	if p.asked.Len() == 0 {
+		return
+	}
+	for _, id := range p.asked.Sorted() {
+		known := p.known[id]
+		switch {
+		case known == nil:
+			p.asked.Remove(id)
+		case known.suspectedAt.IsZero():
+			if known.unanswered >= suspectAsks && now.Sub(known.askedAt) >= suspectTime {
+				known.suspectedAt = now
+				p.version++
+			}
+		case now.Sub(known.suspectedAt) >= suspicionTTL:
+			p.trust(id)
+		}
+	}
 }
 
 func (p *processes) expire(now time.Time) {
-	for id, at := range p.seenAt {
-		if now.Sub(at) > processRetention {
-			delete(p.seenAt, id)
-			p.ids = slices.DeleteFunc(p.ids, func(other waxwingpick.InstanceID) bool { return other == id })
+	for id, known := range p.known {
+		if now.Sub(known.seenAt) > processRetention {
+			delete(p.known, id)
+			p.asked.Remove(id)
 			p.version++
 		}
 	}
 }
 
-// share returns this process's part of a target's limit, and the number of processes that share it.
-func (p *processes) share(id waxwingpick.TargetID, perSecond float64) (rate float64, sharers int) {
-	sharers = min(len(p.ids), minSharers+int(sharersPerRequest*perSecond))
-	ranked := plan.Rank("limit/"+string(id), p.ids)
-	if !slices.Contains(ranked[:sharers], p.self) {
-		return 0, sharers
+// ranked returns the processes that are not suspected, in the order in which they own a target's limit.
+func (p *processes) ranked(id waxwingpick.TargetID) []waxwingpick.InstanceID {
+	ids := []waxwingpick.InstanceID{p.self}
+	for other, known := range p.known {
+		if known.suspectedAt.IsZero() {
+			ids = append(ids, other)
+		}
 	}
-	return perSecond / float64(sharers), sharers
+	return plan.Rank("limit/"+string(id), ids)
 }
--- a/core/sendgate/report.go
+++ b/core/sendgate/report.go
@@ -107,8 +107,8 @@
 	if e == nil {
 		return
 	}
-	if hasLimit {
-		g.setLimit(now, r.Target, e, r.Limit, now.Add(-limitAge))
+	if statedAt := now.Add(-limitAge); hasLimit && (!e.limit.loosenedBy(r.Limit) || statedAt.Sub(e.limit.statedAt) > maxMessageDelay) {
+		g.setLimit(now, e, r.Limit, statedAt)
 	}
 	if leaves && e.leavingAt.IsZero() {
 		g.setLeaving(e, now.Add(-leaveAge))
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -75,36 +75,37 @@
 	if cache, ok := x.cache.Get(); ok {
 		return x.chooseDecodeAgain(now, cache)
 	}
-	chosen, verdict := x.place(now)
-	if verdict != waxwingpick.VerdictPlaced {
-		return chosen, x.notPlaced(now, chosen, verdict)
+	p := x.placeWithAsks(x.place)
+	now = x.process.timers.Now()
+	if p.verdict != waxwingpick.VerdictPlaced {
+		return p.selection, x.notPlaced(now, p)
 	}
-	x.recordChoice(now, chosen)
-	return chosen, nil
+	x.recordChoice(now, p.selection)
+	return p.selection, nil
 }
 
 // notPlaced returns the refusal of a request for which no target was selected.
-func (x *exchange) notPlaced(now time.Time, chosen selection, verdict waxwingpick.Verdict) *waxwingpick.Refusal {
+func (x *exchange) notPlaced(now time.Time, p placed) *waxwingpick.Refusal {
 	var refusal *waxwingpick.Refusal
-	switch verdict {
+	switch p.verdict {
 	case waxwingpick.VerdictNone:
 		refusal = waxwingpick.NotRun(waxwingpick.ReasonNoTarget, noTargetRetry, "no target available")
 	case waxwingpick.VerdictLate:
-		after := min(maxLateRetryAfter, max(minLateRetryAfter, chosen.predicted-x.route.LatencyObjective))
+		after := min(maxLateRetryAfter, max(minLateRetryAfter, p.predicted-x.route.LatencyObjective))
 		refusal = waxwingpick.NotRun(waxwingpick.ReasonDeadline, after, "no target can meet the latency objective")
 	case waxwingpick.VerdictBlocked:
 		refusal = waxwingpick.NotRun(waxwingpick.ReasonOverload, x.service.blockedRetryAfter(now), "no target accepts requests now by what the targets state")
 	case waxwingpick.VerdictPlaced:
 		panic("refusal of a placed request")
 	}
-	x.recordNoPlacement(now, verdict, chosen.predicted, refusal)
+	x.recordNoPlacement(now, p.verdict, p.predicted, refusal)
 	return refusal
 }
 
 // place selects the engines of a model request, or the target of a plain one.
-func (x *exchange) place(now time.Time) (selection, waxwingpick.Verdict) {
+func (x *exchange) place(now time.Time, mayAsk bool) placed {
 	if x.service.servesModels() {
-		return x.service.chooseEngines(now, x.demand())
+		return x.service.chooseEngines(now, x.demand(), mayAsk)
 	}
 	return x.service.chooseTarget(now, balance.Demand{
 		Arrived:          x.in.Arrived,
@@ -112,6 +113,13 @@
 		Deadline:         x.deadline,
 		Sent:             x.sends > 0,
 		Exclude:          x.tried,
+	}, mayAsk)
+}
+
+// placeDecode selects the engine that generates after the prefill stage of a selection.
+func (x *exchange) placeDecode(c selection) placed {
+	return x.placeWithAsks(func(now time.Time, mayAsk bool) placed {
+		return x.service.chooseDecode(now, x.demand(), c, mayAsk)
 	})
 }
 
@@ -145,11 +153,11 @@
 			x.tried = append(x.tried, engine.ID)
 			return chosen, s
 		}
-		now := x.process.timers.Now()
-		var verdict waxwingpick.Verdict
-		if chosen, verdict = x.service.chooseDecode(now, x.demand(), chosen); verdict != waxwingpick.VerdictPlaced {
+		p := x.placeDecode(chosen)
+		chosen = p.selection
+		if p.verdict != waxwingpick.VerdictPlaced {
 			return chosen, sendResult{
-				refusal: x.notPlaced(now, chosen, verdict),
+				refusal: x.notPlaced(x.process.timers.Now(), p),
 			}
 		}
 	}
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -91,7 +91,7 @@
 		remote:           make(map[waxwingpick.AvailabilityZone]remoteDigest),
 	}
 	p.crashTracker.broadcast = g.sendCrashes
-	p.statements.publish = g.sendStatements
+	p.statements.peers = g
 	return g
 }
 
@@ -267,8 +267,7 @@
 		g.follower.applyUpdate(g.process.timers.Now(), update)
 		return
 	}
-	if len(encoded) > 0 && encoded[0] == statementsKind {
-		g.receiveStatements(g.process.timers.Now(), encoded)
+	if len(encoded) > 0 && g.receiveStatements(g.process.timers.Now(), encoded[0], encoded[1:]) {
 		return
 	}
 	var m message
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -167,6 +167,18 @@
 	return ids
 }
 
+// addrOf returns the address of another gateway; none if it is not listed.
+func (s *peers) addrOf(id waxwingpick.InstanceID) waxwingpick.Option[string] {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for key, p := range s.gateways {
+		if strings.HasSuffix(key, "/"+string(id)) {
+			return waxwingpick.Some(p.addr)
+		}
+	}
+	return waxwingpick.None[string]()
+}
+
 // all returns the addresses of the other gateways.
 func (s *peers) all() []string {
 	return s.addrs(func(peer) bool { return true })
--- a/internal/gateway/prefill.go
+++ b/internal/gateway/prefill.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"waxwingpick"
+	"waxwingpick/core/sendgate"
 )
 
 // releaseTimeout bounds the call that frees KV cache after its request has ended.
@@ -70,12 +71,12 @@
 
 // chooseDecodeAgain selects another engine to run the request from KV cache after one failed to do so.
 func (x *exchange) chooseDecodeAgain(now time.Time, cache prefilledCache) (selection, *waxwingpick.Refusal) {
-	chosen, verdict := x.service.chooseDecode(now, x.demand(), cache.chosen)
-	if verdict != waxwingpick.VerdictPlaced {
-		return chosen, x.notPlaced(now, chosen, verdict)
+	p := x.placeDecode(cache.chosen)
+	if p.verdict != waxwingpick.VerdictPlaced {
+		return p.selection, x.notPlaced(now, p)
 	}
-	x.recordChoice(now, chosen)
-	return chosen, nil
+	x.recordChoice(now, p.selection)
+	return p.selection, nil
 }
 
 // updateCache decides after a send whether its KV cache is still usable by another engine.
@@ -121,7 +122,7 @@
 	x.cache = waxwingpick.None[prefilledCache]()
 	p := x.process
 	engine := cache.chosen.prefill.OrElse(cache.chosen.target)
-	if !p.statements.take(p.timers.Now(), engine.ID) {
+	if p.statements.take(p.timers.Now(), engine.ID) != sendgate.AdmissionTaken {
 		p.log.WithField("target", engine.ID).Debug("KV cache not released because its engine accepts no requests; it expires there")
 		return
 	}
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -100,15 +100,15 @@
 }
 
 // chooseEngines selects the engines of a model request and counts the request at them.
-func (s *service) chooseEngines(now time.Time, d placement.Demand) (selection, waxwingpick.Verdict) {
+func (s *service) chooseEngines(now time.Time, d placement.Demand, mayAsk bool) placed {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	choice, verdict := place(now, s.statements, func(blocked waxwingpick.Set[waxwingpick.TargetID]) (placement.Choice, waxwingpick.TargetID, waxwingpick.Verdict) {
+	choice, p := place(now, s.statements, mayAsk, func(blocked waxwingpick.Set[waxwingpick.TargetID]) (placement.Choice, waxwingpick.TargetID, waxwingpick.Verdict) {
 		d.Blocked = blocked
 		choice, verdict := s.fleet.Choose(now, d)
 		return choice, choice.Prefill.OrElse(choice.Run).ID, verdict
 	})
-	chosen := selection{
+	p.selection = selection{
 		target:     choice.Run,
 		prefill:    choice.Prefill,
 		ahead:      choice.QueuedWork,
@@ -116,24 +116,24 @@
 		heldTokens: choice.HeldTokens,
 		loadAges:   choice.Ages,
 	}
-	if verdict != waxwingpick.VerdictPlaced {
-		return chosen, verdict
+	if p.verdict != waxwingpick.VerdictPlaced {
+		return p
 	}
 	if engine, split := choice.Prefill.Get(); split {
-		chosen.prefillStage = s.fleet.Begin(now, engine.ID, d, false)
-		return chosen, verdict
+		p.prefillStage = s.fleet.Begin(now, engine.ID, d, false)
+		return p
 	}
-	chosen.runStage = s.fleet.Begin(now, choice.Run.ID, d, false)
-	return chosen, verdict
+	p.runStage = s.fleet.Begin(now, choice.Run.ID, d, false)
+	return p
 }
 
 // chooseDecode selects the engine that fetches the request's prefilled KV cache, and counts the request at it. The
 // choice made before the prefill stage may be out of date.
-func (s *service) chooseDecode(now time.Time, d placement.Demand, c selection) (selection, waxwingpick.Verdict) {
+func (s *service) chooseDecode(now time.Time, d placement.Demand, c selection, mayAsk bool) placed {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	engine, _ := c.prefill.Get()
-	target, verdict := place(now, s.statements, func(blocked waxwingpick.Set[waxwingpick.TargetID]) (waxwingpick.Target, waxwingpick.TargetID, waxwingpick.Verdict) {
+	target, p := place(now, s.statements, mayAsk, func(blocked waxwingpick.Set[waxwingpick.TargetID]) (waxwingpick.Target, waxwingpick.TargetID, waxwingpick.Verdict) {
 		d.Blocked = blocked
 		target, ok := s.fleet.ChooseRun(now, d, engine)
 		if !ok {
@@ -141,39 +141,12 @@
 		}
 		return target, target.ID, waxwingpick.VerdictPlaced
 	})
-	if verdict != waxwingpick.VerdictPlaced {
-		return c, verdict
-	}
-	c.target = target
-	c.runStage = s.fleet.Begin(now, target.ID, d, true)
-	return c, verdict
-}
-
-// place selects targets until the gate admits the next send. choose returns its choice among the targets that are not
-// blocked, and the target that receives the next send.
-func place[T any](now time.Time, st *statements, choose func(blocked waxwingpick.Set[waxwingpick.TargetID]) (T, waxwingpick.TargetID, waxwingpick.Verdict)) (T, waxwingpick.Verdict) {
-	blocked := st.blocked(now)
-	for {
-		choice, next, verdict := choose(blocked)
-		switch verdict {
-		case waxwingpick.VerdictPlaced:
-			if st.take(now, next) {
-				return choice, verdict
-			}
-			// A release of KV cache used the target's last token meanwhile.
-			blocked.Add(next)
-		case waxwingpick.VerdictNone:
-			if blocked.Len() == 0 {
-				return choice, verdict
-			}
-			if _, _, open := choose(waxwingpick.NewSet[waxwingpick.TargetID]()); open != waxwingpick.VerdictNone {
-				return choice, waxwingpick.VerdictBlocked
-			}
-			return choice, verdict
-		case waxwingpick.VerdictLate, waxwingpick.VerdictBlocked:
-			return choice, verdict
-		}
+	p.selection = c
+	if p.verdict == waxwingpick.VerdictPlaced {
+		p.target = target
+		p.runStage = s.fleet.Begin(now, target.ID, d, true)
 	}
+	return p
 }
 
 // summary returns this process's load for other gateways of its zone; engines is false for a plain service.
@@ -211,22 +184,22 @@
 }
 
 // chooseTarget selects a target of a plain service and counts the call at it.
-func (s *service) chooseTarget(now time.Time, d balance.Demand) (selection, waxwingpick.Verdict) {
+func (s *service) chooseTarget(now time.Time, d balance.Demand, mayAsk bool) placed {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	choice, verdict := place(now, s.statements, func(blocked waxwingpick.Set[waxwingpick.TargetID]) (balance.Choice, waxwingpick.TargetID, waxwingpick.Verdict) {
+	choice, p := place(now, s.statements, mayAsk, func(blocked waxwingpick.Set[waxwingpick.TargetID]) (balance.Choice, waxwingpick.TargetID, waxwingpick.Verdict) {
 		d.Blocked = blocked
 		choice, verdict := s.pool.Choose(now, d)
 		return choice, choice.Target.ID, verdict
 	})
-	chosen := selection{
+	p.selection = selection{
 		target:    choice.Target,
 		predicted: choice.Predicted,
 	}
-	if verdict == waxwingpick.VerdictPlaced {
-		chosen.call = s.pool.Begin(now, choice.Target.ID)
+	if p.verdict == waxwingpick.VerdictPlaced {
+		p.call = s.pool.Begin(now, choice.Target.ID)
 	}
-	return chosen, verdict
+	return p
 }
 
 // blockedRetryAfter returns when a request is useful again that no target accepts because of what the targets state.
--- a/internal/gateway/statements.go
+++ b/internal/gateway/statements.go
@@ -1,16 +1,17 @@
 package gateway
 
 import (
-	"math"
+	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
 	"github.com/sirupsen/logrus"
 
 	"waxwingpick"
 	"waxwingpick/core/sendgate"
+	"waxwingpick/core/timer"
 )
 
 const (
@@ -18,32 +19,50 @@
 	statementsInterval = 100 * time.Millisecond
 	// statementsFanOut is the number of gateways that receive each message in a larger fleet. They forward it.
 	statementsFanOut = 3
-	// statementsKind is the first byte of a message with statements. A summary is a CBOR array instead.
-	statementsKind = 0x02
+	// askTimeout bounds the wait of a request for the answer of another gateway.
+	askTimeout = 50 * time.Millisecond
+	// answerTTL is how long the answer to an ask is accepted.
+	answerTTL = 2 * time.Second
 	// minBlockedRetryAfter and maxBlockedRetryAfter bound the Retry-After of a request that no target accepts because of
 	// what the targets state.
 	minBlockedRetryAfter = 100 * time.Millisecond
 	maxBlockedRetryAfter = 2 * time.Second
-	// maxReportAge bounds the age that a received report may state.
-	maxReportAge = time.Hour
 )
 
 // statements is the gate for all sends to targets, with what the targets state about themselves. Its methods are safe for
 // concurrent use.
 type statements struct {
 	process *Process
-	// publish sends statements to other gateways; nil if there are none.
-	publish func(reports []sendgate.Report)
+	// peers sends to other gateways; nil if there are none.
+	peers statementPeers
 
 	mu   sync.Mutex
 	gate *sendgate.Gate
+	// asks holds the asks without an answer by their number, and lastAsk is the number of the last one.
+	asks    map[uint64]pendingAsk
+	lastAsk uint64
+}
+
+// pendingAsk is an ask without an answer.
+type pendingAsk struct {
+	sentAt time.Time
+	// done ends the wait of the request that asked.
+	done func()
+}
+
+// statementPeers sends messages about statements to other gateways. Messages may be lost.
+type statementPeers interface {
+	sendReports(reports []sendgate.Report)
+	sendAsk(number uint64, a sendgate.Ask)
 }
 
 func newStatements(p *Process) *statements {
-	jitter := time.Duration(newRandom().Int64N(int64(sendgate.TTLJitter)))
 	return &statements{
 		process: p,
-		gate:    sendgate.New(p.options.Instance, jitter),
+		gate:    sendgate.New(p.options.Instance, newRandom().Float64),
+		asks:    make(map[uint64]pendingAsk),
+		// Answers to the asks of a former incarnation do not match.
+		lastAsk: rand.Uint64(),
 	}
 }
 
@@ -55,20 +74,84 @@
 	s.gate.Observe(now, sentAt, t, stated, ran)
 }
 
-// blocked returns the targets to which no request may be sent now.
-func (s *statements) blocked(now time.Time) waxwingpick.Set[waxwingpick.TargetID] {
+// blocked returns the targets to which no request may be sent now. If mayAsk is set, it leaves out those whose owner may
+// be asked for a token.
+func (s *statements) blocked(now time.Time, mayAsk bool) waxwingpick.Set[waxwingpick.TargetID] {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.gate.Blocked(now)
+	return s.gate.Blocked(now, mayAsk)
 }
 
-// take counts a request to a target; false means that it must not be sent.
-func (s *statements) take(now time.Time, id waxwingpick.TargetID) bool {
+// take decides whether a request may be sent to a target, and counts it as sent if it may.
+func (s *statements) take(now time.Time, id waxwingpick.TargetID) sendgate.Admission {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.gate.Take(now, id)
 }
 
+// ask asks the owner of a target's limit for tokens and waits for the answer.
+func (s *statements) ask(ctx context.Context, id waxwingpick.TargetID) {
+	timers := s.process.timers
+	waiting, done := context.WithCancel(ctx)
+	defer done()
+	s.mu.Lock()
+	a, ok := s.gate.Ask(timers.Now(), id)
+	if !ok || s.peers == nil {
+		s.mu.Unlock()
+		return
+	}
+	number := s.track(timers.Now(), done)
+	s.mu.Unlock()
+	s.peers.sendAsk(number, a)
+	timer.Sleep(waiting, timers, askTimeout)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, unanswered := s.asks[number]; unanswered {
+		s.gate.Unanswered(timers.Now(), a)
+	}
+}
+
+// track returns the number of a new ask.
+func (s *statements) track(now time.Time, done func()) uint64 {
+	s.lastAsk++
+	s.asks[s.lastAsk] = pendingAsk{
+		sentAt: now,
+		done:   done,
+	}
+	return s.lastAsk
+}
+
+// answered applies the answer to an ask, also one that comes too late for its request. A duplicate has no effect, since its
+// tokens were granted once.
+func (s *statements) answered(now time.Time, from waxwingpick.InstanceID, number uint64, a sendgate.Answer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	pending, ok := s.asks[number]
+	if !ok {
+		return
+	}
+	delete(s.asks, number)
+	s.gate.Answered(now, from, a)
+	pending.done()
+}
+
+// asked answers the ask of another gateway.
+func (s *statements) asked(now time.Time, from waxwingpick.InstanceID, a sendgate.Ask) sendgate.Answer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gate.Asked(now, from, a)
+}
+
+// apply applies the reports of another gateway.
+func (s *statements) apply(now time.Time, from waxwingpick.InstanceID, reports []sendgate.Report) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gate.Heard(now, from)
+	for _, r := range reports {
+		s.gate.Apply(now, r)
+	}
+}
+
 // blockedBy counts the targets that accept no request now, by the kind of statement.
 func (s *statements) blockedBy(now time.Time, targets []waxwingpick.TargetID) map[string]int {
 	s.mu.Lock()
@@ -120,9 +203,14 @@
 	s.mu.Lock()
 	changes := s.gate.Changes(now)
 	counts := s.gate.Counts(now)
+	maps.DeleteFunc(s.asks, func(_ uint64, a pendingAsk) bool { return now.Sub(a.sentAt) > answerTTL })
 	var reports []sendgate.Report
-	if s.publish != nil {
+	pings := make(map[uint64]sendgate.Ask)
+	if s.peers != nil {
 		reports = s.gate.Reports(now)
+		for _, a := range s.gate.Pings(now) {
+			pings[s.track(now, func() {})] = a
+		}
 	}
 	s.mu.Unlock()
 	m := s.process.options.Metrics
@@ -133,7 +221,10 @@
 		s.log(c)
 	}
 	if len(reports) > 0 {
-		s.publish(reports)
+		s.peers.sendReports(reports)
+	}
+	for number, a := range pings {
+		s.peers.sendAsk(number, a)
 	}
 }
 
@@ -149,8 +240,8 @@
 		}
 		log.WithFields(logrus.Fields{
 			"requestsPerSecond": limit,
-			"share":             c.Share,
-			"sharers":           c.Sharers,
+			"owner":             c.Owner,
+			"owners":            c.Owners,
 		}).Warn("target states a request limit")
 	case sendgate.KindLeave:
 		log.WithField("ageMillis", c.Age.Milliseconds()).Info("target states that it leaves")
@@ -158,110 +249,3 @@
 		log.WithField("delayMillis", c.Delay.Milliseconds()).Info("target wants no requests for some time")
 	}
 }
-
-// statementsMessage is what gateways send to each other about the statements of targets.
-type statementsMessage struct {
-	_       struct{} `cbor:",toarray"`
-	From    waxwingpick.InstanceID
-	Reports []statementReport
-}
-
-// statementReport is the encoding of a report.
-type statementReport struct {
-	_      struct{} `cbor:",toarray"`
-	Target waxwingpick.TargetID
-	Start  int64
-	// Limit is nil if the target has withdrawn its limit, and LimitAgeMillis nil if it never stated one.
-	Limit          *float64
-	LimitAgeMillis *int64
-	// LeaveAgeMillis is nil if the target does not leave.
-	LeaveAgeMillis *int64
-}
-
-func encodeReport(r sendgate.Report) statementReport {
-	encoded := statementReport{
-		Target:         r.Target,
-		Start:          r.StartUnixMillis,
-		LimitAgeMillis: encodeAge(r.LimitAge),
-		LeaveAgeMillis: encodeAge(r.LeaveAge),
-	}
-	if limit, ok := r.Limit.Get(); ok {
-		encoded.Limit = &limit
-	}
-	return encoded
-}
-
-func encodeAge(age waxwingpick.Option[time.Duration]) *int64 {
-	d, ok := age.Get()
-	if !ok {
-		return nil
-	}
-	millis := d.Milliseconds()
-	return &millis
-}
-
-// decode returns the report, or false if its limit is out of range.
-func (r statementReport) decode() (sendgate.Report, bool) {
-	report := sendgate.Report{
-		Target:          r.Target,
-		StartUnixMillis: r.Start,
-		LimitAge:        decodeAge(r.LimitAgeMillis),
-		LeaveAge:        decodeAge(r.LeaveAgeMillis),
-	}
-	if r.Limit != nil {
-		if !(*r.Limit >= 0) || math.IsInf(*r.Limit, 0) {
-			return report, false
-		}
-		report.Limit = waxwingpick.Some(*r.Limit)
-	}
-	return report, true
-}
-
-func decodeAge(millis *int64) waxwingpick.Option[time.Duration] {
-	if millis == nil {
-		return waxwingpick.None[time.Duration]()
-	}
-	return waxwingpick.Some(time.Duration(max(0, min(*millis, maxReportAge.Milliseconds()))) * time.Millisecond)
-}
-
-// sendStatements sends statements to all gateways of a small fleet, or to some gateways of a larger one.
-func (g *gossip) sendStatements(reports []sendgate.Report) {
-	m := statementsMessage{
-		From: g.process.options.Instance,
-	}
-	for _, r := range reports {
-		m.Reports = append(m.Reports, encodeReport(r))
-	}
-	encoded, err := cbor.Marshal(m)
-	if err != nil {
-		g.process.log.WithField("error", err.Error()).Error("encoding the statements failed")
-		return
-	}
-	receivers := g.peers.all()
-	if len(receivers) >= smallFleet {
-		rand.Shuffle(len(receivers), func(i, j int) { receivers[i], receivers[j] = receivers[j], receivers[i] })
-		receivers = receivers[:statementsFanOut]
-	}
-	g.sendAll(receivers, append([]byte{statementsKind}, encoded...))
-}
-
-// receiveStatements applies the statements that another gateway sends.
-func (g *gossip) receiveStatements(now time.Time, encoded []byte) {
-	var m statementsMessage
-	if err := cbor.Unmarshal(encoded[1:], &m); err != nil {
-		g.process.log.WithField("error", err.Error()).Debug("statements rejected")
-		return
-	}
-	if m.From == "" || m.From == g.process.options.Instance {
-		return
-	}
-	s := g.process.statements
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.gate.ProcessSeen(now, m.From)
-	for _, r := range m.Reports[:min(len(m.Reports), sendgate.MaxReports)] {
-		if report, ok := r.decode(); ok {
-			s.gate.Apply(now, report)
-		}
-	}
-}
--- a/internal/limitfleet/check.go
+++ b/internal/limitfleet/check.go
@@ -18,6 +18,9 @@
 	Slack = 5
 )
 
+// Received returns the largest number of requests that a target received in a window from processes that knew its limit.
+func (f *Fleet) Received(i int) float64 { return f.Worst(i, 0) }
+
 // Worst returns the largest number of requests that a target received in a window beyond the given multiple of its limit,
 // from processes that knew the limit. It is negative if every window held fewer.
 func (f *Fleet) Worst(i int, multiple float64) float64 {
@@ -76,16 +79,28 @@
 	return nil
 }
 
-// Used returns the part of a target's limit that was sent to it from the given time after its last change to the end.
+// Used returns the part of a target's limits that was sent to it. It counts from the given time after the target first
+// stated a limit.
 func (f *Fleet) Used(i int, after time.Duration) float64 {
 	t := f.targets[i]
-	s := t.spells[len(t.spells)-1]
-	from := s.from.Add(after)
-	n := 0
-	for _, a := range t.arrivals {
-		if a.at.After(from) {
-			n++
+	used, allowed := 0.0, 0.0
+	for n, s := range t.spells {
+		from, end := s.from, s.to
+		if n == 0 || !t.spells[n-1].to.Equal(s.from) {
+			from = from.Add(after)
+		}
+		if end.IsZero() {
+			end = f.now
+		}
+		if !end.After(from) {
+			continue
+		}
+		allowed += s.perSecond * end.Sub(from).Seconds()
+		for _, a := range t.arrivals {
+			if a.at.After(from) && !a.at.After(end) {
+				used++
+			}
 		}
 	}
-	return float64(n) / (s.perSecond * f.now.Sub(from).Seconds())
+	return used / max(1, allowed)
 }
--- a/internal/limitfleet/fleet.go
+++ b/internal/limitfleet/fleet.go
@@ -12,7 +12,7 @@
 
 const (
 	// Tick is the resolution of the simulation.
-	Tick = 20 * time.Millisecond
+	Tick = 5 * time.Millisecond
 	// responseTime bounds the time from a request to its response.
 	responseTime = 120 * time.Millisecond
 	// messageTime is the delay of a message without faults.
@@ -23,8 +23,17 @@
 	// fanOut of them.
 	smallFleet = 8
 	fanOut     = 3
-	// listDelay is how long the lists of the other processes lag behind starts and kills.
-	listDelay = 6 * time.Second
+	// askTimeout is how long a request waits for the answer of an owner, and maxAsks bounds its asks.
+	askTimeout = 50 * time.Millisecond
+	maxAsks    = 2
+	// headerBytes is the size of a message without reports, with the headers of IP and UDP, and reportBytes that of a report
+	// or an answer.
+	headerBytes = 60
+	reportBytes = 45
+	// listInterval is the time between two readings of the list, and listDelay the time for which killed processes stay on
+	// it.
+	listInterval = time.Second
+	listDelay    = 6 * time.Second
 )
 
 // Rand is a source of random numbers. IntN returns a number from 0 to n-1.
@@ -50,15 +59,22 @@
 	excused     time.Time
 	killedAt    time.Time
 	frozenUntil time.Time
+	listedAt    time.Time
 	cutUntil    time.Time
 	// told is when the process first received the limit of each target in its current spell.
-	told   map[waxwingpick.TargetID]time.Time
+	told map[waxwingpick.TargetID]time.Time
+	// served counts the requests sent to targets, bytes those of messages sent and received.
 	served int
-	due    float64
+	bytes  int
 }
 
 func (p *process) alive() bool { return p.killedAt.IsZero() }
 
+// running reports whether the process is neither killed nor frozen.
+func (p *process) running(now time.Time) bool {
+	return p.alive() && !now.Before(p.frozenUntil)
+}
+
 // arrival is a request that a target received.
 type arrival struct {
 	at   time.Time
@@ -102,10 +118,7 @@
 	demand    float64
 	// unaware makes the processes ignore each other, as a naive variant does.
 	unaware bool
-	// messages counts the messages sent, and reports the limits in them.
-	messages int
-	reports  int
-	refused  int
+	refused int
 }
 
 // New returns a fleet of processes and targets without limits.
@@ -129,7 +142,7 @@
 	return f
 }
 
-// SetFaults sets the faults of messages.
+// SetFaults sets the faults of all following messages.
 func (f *Fleet) SetFaults(faults Faults) { f.faults = faults }
 
 // SetDemand sets the requests per second of the whole fleet.
@@ -152,11 +165,42 @@
 // Processes returns the number of processes that were added.
 func (f *Fleet) Processes() int { return len(f.processes) }
 
-// Refused returns the number of requests that no target could receive.
-func (f *Fleet) Refused() int { return f.refused }
+// RefusedPart returns the part of the requests since the last ResetCounts that no target could receive.
+func (f *Fleet) RefusedPart() float64 {
+	served := 0
+	for _, p := range f.processes {
+		served += p.served
+	}
+	return float64(f.refused) / float64(max(1, f.refused+served))
+}
+
+// Served returns the least and the mean number of requests that a process served since the last ResetCounts.
+func (f *Fleet) Served() (least, mean float64) {
+	least = float64(f.processes[0].served)
+	total := 0.0
+	for _, p := range f.processes {
+		least = min(least, float64(p.served))
+		total += float64(p.served)
+	}
+	return least, total / float64(len(f.processes))
+}
 
-// Messages returns the number of messages sent, and of the limits in them.
-func (f *Fleet) Messages() (messages, reports int) { return f.messages, f.reports }
+// BusiestBytes returns the largest number of bytes that a process sent and received since the last ResetCounts.
+func (f *Fleet) BusiestBytes() float64 {
+	most := 0
+	for _, p := range f.processes {
+		most = max(most, p.bytes)
+	}
+	return float64(most)
+}
+
+// ResetCounts sets the counts of requests and bytes to zero.
+func (f *Fleet) ResetCounts() {
+	f.refused = 0
+	for _, p := range f.processes {
+		p.served, p.bytes = 0, 0
+	}
+}
 
 // Add adds a process. The others list it later.
 func (f *Fleet) Add() {
@@ -169,7 +213,7 @@
 
 // restart starts a new incarnation of a process, which knows no limits.
 func (f *Fleet) restart(p *process) {
-	p.gate = sendgate.New(p.id, time.Duration(f.rand.IntN(int(sendgate.TTLJitter))))
+	p.gate = sendgate.New(p.id, f.rand.Float64)
 	p.started = f.now
 	p.killedAt = time.Time{}
 	p.told = make(map[waxwingpick.TargetID]time.Time)
@@ -178,6 +222,7 @@
 
 // setList gives a process the list of the others. Killed processes stay listed for listDelay.
 func (f *Fleet) setList(p *process) {
+	p.listedAt = f.now
 	if f.unaware {
 		return
 	}
@@ -247,26 +292,22 @@
 			f.nextSync = f.now.Add(syncInterval)
 			f.sync()
 		}
-		for _, p := range f.processes {
-			if !p.alive() || f.now.Before(p.frozenUntil) {
-				continue
-			}
-			p.due += f.demand / float64(len(f.processes)) * Tick.Seconds()
-			for n := f.poisson(&p.due); n > 0; n-- {
-				f.request(p)
+		for n := f.poisson(f.demand * Tick.Seconds()); n > 0; n-- {
+			// Callers of a process that does not run get no response.
+			if p := f.processes[f.rand.IntN(len(f.processes))]; p.running(f.now) {
+				f.request(p, f.rand.IntN(len(f.targets)), 0)
 			}
 		}
 	}
 }
 
-// poisson returns a random number of requests with the given mean, and resets the mean.
-func (f *Fleet) poisson(mean *float64) int {
-	limit, product, n := math.Exp(-*mean), f.rand.Float64(), 0
+// poisson returns a random number of requests with the given mean.
+func (f *Fleet) poisson(mean float64) int {
+	limit, product, n := math.Exp(-mean), f.rand.Float64(), 0
 	for product > limit {
 		product *= f.rand.Float64()
 		n++
 	}
-	*mean = 0
 	return n
 }
 
@@ -289,16 +330,21 @@
 // sync makes all processes send their messages.
 func (f *Fleet) sync() {
 	for _, p := range f.processes {
-		if !p.alive() || f.now.Before(p.frozenUntil) {
+		if !p.running(f.now) {
 			continue
 		}
-		f.setList(p)
+		if f.now.Sub(p.listedAt) >= listInterval {
+			f.setList(p)
+		}
 		p.gate.Changes(f.now)
 		if reports := p.gate.Reports(f.now); len(reports) > 0 {
 			for _, to := range f.receivers(p) {
-				f.send(p, to, reports)
+				f.sendReports(p, to, reports)
 			}
 		}
+		for _, a := range p.gate.Pings(f.now) {
+			f.sendAsk(p, a, func() {})
+		}
 	}
 }
 
@@ -319,9 +365,9 @@
 	return others[:fanOut]
 }
 
-func (f *Fleet) send(from, to *process, reports []sendgate.Report) {
-	f.messages++
-	f.reports += len(reports)
+// send delivers a message unless it is lost.
+func (f *Fleet) send(from, to *process, bytes int, deliver func()) {
+	from.bytes += bytes
 	if f.rand.Float64() < f.faults.Loss || f.now.Before(from.cutUntil) || f.now.Before(to.cutUntil) {
 		return
 	}
@@ -329,54 +375,125 @@
 	if f.faults.MaxDelay > 0 {
 		delay += time.Duration(f.rand.IntN(int(f.faults.MaxDelay)))
 	}
+	started := to.started
 	f.events = append(f.events, event{
 		at: f.now.Add(delay),
 		do: func() {
-			if !to.alive() || f.now.Before(to.frozenUntil) || f.unaware {
-				return
+			if to.running(f.now) && to.started.Equal(started) && !f.unaware {
+				to.bytes += bytes
+				deliver()
 			}
-			to.gate.ProcessSeen(f.now, from.id)
-			for _, r := range reports {
-				to.gate.Apply(f.now, r)
+		},
+	})
+}
+
+func (f *Fleet) sendReports(from, to *process, reports []sendgate.Report) {
+	f.send(from, to, headerBytes+len(reports)*reportBytes, func() {
+		to.gate.Heard(f.now, from.id)
+		for _, r := range reports {
+			if _, limited := r.Limit.Get(); limited {
+				f.tell(to, r.Target)
 			}
+			to.gate.Apply(f.now, r)
+		}
+	})
+}
+
+// sendAsk sends an ask and calls done once, after its answer or its time-out.
+func (f *Fleet) sendAsk(p *process, a sendgate.Ask, done func()) {
+	finished := false
+	finish := func() {
+		if !finished {
+			finished = true
+			done()
+		}
+	}
+	to := f.process(a.To)
+	f.send(p, to, headerBytes+reportBytes, func() {
+		answer := to.gate.Asked(f.now, p.id, a)
+		f.send(to, p, headerBytes+reportBytes, func() {
+			p.gate.Answered(f.now, to.id, answer)
+			finish()
+		})
+	})
+	started := p.started
+	f.events = append(f.events, event{
+		at: f.now.Add(askTimeout),
+		do: func() {
+			if finished || !p.running(f.now) || !p.started.Equal(started) {
+				finished = true
+				return
+			}
+			p.gate.Unanswered(f.now, a)
+			finish()
 		},
 	})
 }
 
-// request sends a request to a random target that may receive one.
-func (f *Fleet) request(p *process) {
-	blocked := p.gate.Blocked(f.now)
-	first := f.rand.IntN(len(f.targets))
+// tell records that a process knows the limit of a target.
+func (f *Fleet) tell(p *process, id waxwingpick.TargetID) {
+	if _, ok := p.told[id]; !ok {
+		p.told[id] = f.now
+	}
+}
+
+func (f *Fleet) process(id waxwingpick.InstanceID) *process {
+	for _, p := range f.processes {
+		if p.id == id {
+			return p
+		}
+	}
+	panic("ask to an unknown process " + id)
+}
+
+// request sends a request to the first target that may receive one, after asks asks for it. The order of the targets
+// begins with the given one.
+func (f *Fleet) request(p *process, first, asks int) {
+	blocked := p.gate.Blocked(f.now, asks < maxAsks)
 	for i := range f.targets {
-		t := f.targets[(first+i)%len(f.targets)]
-		if blocked.Has(t.info.ID) || !p.gate.Take(f.now, t.info.ID) {
+		index := (first + i) % len(f.targets)
+		t := f.targets[index]
+		if blocked.Has(t.info.ID) {
 			continue
 		}
-		p.served++
-		t.arrivals = append(t.arrivals, arrival{
-			at:      f.now,
-			from:    p,
-			told:    p.told[t.info.ID],
-			started: p.started,
-		})
-		f.respond(p, t)
-		return
+		switch p.gate.Take(f.now, t.info.ID) {
+		case sendgate.AdmissionTaken:
+			f.serve(p, t)
+			return
+		case sendgate.AdmissionAsk:
+			if a, ok := p.gate.Ask(f.now, t.info.ID); ok {
+				f.sendAsk(p, a, func() { f.request(p, index, asks+1) })
+				return
+			}
+		case sendgate.AdmissionRefused:
+		}
 	}
 	f.refused++
 }
 
+// serve sends a request to a target.
+func (f *Fleet) serve(p *process, t *Target) {
+	p.served++
+	t.arrivals = append(t.arrivals, arrival{
+		at:      f.now,
+		from:    p,
+		told:    p.told[t.info.ID],
+		started: p.started,
+	})
+	f.respond(p, t)
+}
+
 // respond delivers the response to a request, which states the limit at the time of the request.
 func (f *Fleet) respond(p *process, t *Target) {
 	stated, started, sentAt := t.limit, p.started, f.now
 	f.events = append(f.events, event{
 		at: f.now.Add(time.Duration(1 + f.rand.IntN(int(responseTime)))),
 		do: func() {
-			if !p.alive() || p.started != started || f.now.Before(p.frozenUntil) {
+			if !p.running(f.now) || !p.started.Equal(started) {
 				return
 			}
-			_, limited := stated.Get()
-			if _, ok := p.told[t.info.ID]; limited && !ok {
-				p.told[t.info.ID] = f.now
+			if _, limited := stated.Get(); limited {
+				f.tell(p, t.info.ID)
 			}
 			p.gate.Observe(f.now, sentAt, t.info, waxwingpick.Statement{
 				RequestLimit: stated,
