core/sendgate: a limit of zero has no tokens; owners outside the own list are learned

Found by reading and by TestGatewaysShareALimitOverTheirLink (nine gateways, encoded messages): an owner whose limit changes to 0 kept its tokens and divided by the rate; a process whose list lacks the owner asked in circles; an ask to a gateway that is not listed waited for its time-out. FuzzReceiveStatements: 3,020 inputs, no finding. The harness of the gossip tests renames its processes after their creation and makes their statements anew now.

--- a/core/sendgate/ask.go
+++ b/core/sendgate/ask.go
@@ -112,7 +112,7 @@
 	}
 	l := &e.limit
 	g.update(now, id, l)
-	if !l.owns() {
+	if l.owner != g.processes.self {
 		answer.Owner = l.owners[0]
 		answer.Wait = notOwnerWait
 		g.ping(answer.Owner)
@@ -194,8 +194,9 @@
 		l.grantedUntil = now.Add(grantTTL)
 		return
 	}
-	if answer.Owner != "" && answer.Owner != g.processes.self {
-		g.processes.trust(answer.Owner)
+	if answer.Owner != "" {
+		// The list of this process may not have the owner yet.
+		g.processes.heard(now, answer.Owner)
 	}
 	if wait := min(max(0, answer.Wait), maxAskWait); wait > 0 {
 		l.nextAskAt = now.Add(wait)
--- a/core/sendgate/limit.go
+++ b/core/sendgate/limit.go
@@ -63,8 +63,8 @@
 	value waxwingpick.Option[float64]
 	// statedAt is when the target stated the value, as far as known; zero if it never stated a limit.
 	statedAt time.Time
-	// withdrawnAt is when the limit was first withdrawn.
-	withdrawnAt time.Time
+	// changedAt is when this process learned of the value.
+	changedAt time.Time
 	// owners give out the limit, and owner is the one that this process asks. They are valid for the list of processes with
 	// the number version.
 	owners  []waxwingpick.InstanceID
@@ -93,23 +93,22 @@
 	}
 	_, before := l.value.Get()
 	_, limited := value.Get()
-	if !before && !limited && (l.statedAt.IsZero() || now.Sub(l.withdrawnAt) > confirmTime) {
+	if !before && !limited && (l.statedAt.IsZero() || now.Sub(l.changedAt) > confirmTime) {
 		return
 	}
 	l.statedAt = at
 	if l.value == value {
 		return
 	}
-	l.withdrawnAt = now
 	if !before {
 		*l = limit{
 			statedAt: at,
 			sentRate: l.sentRate,
 			sentAt:   l.sentAt,
 		}
-		l.owned.refilledAt = now
 	}
 	l.value = value
+	l.changedAt = now
 	l.version = 0
 	g.update(now, e.id, l)
 	e.unreported = true
@@ -152,6 +151,8 @@
 		rate, burst := 0.0, 0.0
 		if l.owner == g.processes.self {
 			rate = ownedShare * perSecond / float64(len(l.owners))
+		}
+		if rate > 0 {
 			burst = max(ownerBurst, rate*burstTime.Seconds())
 		}
 		l.owned.setRate(now, rate, burst)
@@ -162,9 +163,6 @@
 	}
 }
 
-// owns reports whether this process is an owner.
-func (l *limit) owns() bool { return l.owned.burst > 0 }
-
 // source is where the token for a request comes from.
 type source uint8
 
@@ -231,9 +229,9 @@
 	if l.owner != g.processes.self {
 		return waxwingpick.Some(max(0, l.nextAskAt.Sub(now)))
 	}
-	missing := 1 - l.owned.tokens
+	missing := max(0, 1-l.owned.tokens)
 	if l.owned.rate*g.ttl.Seconds() < missing {
 		return waxwingpick.None[time.Duration]()
 	}
-	return waxwingpick.Some(time.Duration(missing / l.owned.rate * float64(time.Second)))
+	return waxwingpick.Some(max(l.nextAskAt.Sub(now), time.Duration(missing/l.owned.rate*float64(time.Second))))
 }
--- a/internal/gateway/gossip_zones_test.go
+++ b/internal/gateway/gossip_zones_test.go
@@ -54,6 +54,7 @@
 			p, clock := newProcess(t, unused{})
 			p.options.Instance = waxwingpick.InstanceID(fmt.Sprint("gateway", z, "-", i))
 			p.options.Zone = waxwingpick.AvailabilityZone(fmt.Sprint("zone", z))
+			p.statements = newStatements(p)
 			p.options.PeerAddr = fmt.Sprintf("10.0.%d.%d:1", z, i)
 			p.options.Peers = &testLink{
 				network: n,
--- a/internal/gateway/statementlink.go
+++ b/internal/gateway/statementlink.go
@@ -124,9 +124,10 @@
 	g.sendKind(reportsKind, m, receivers...)
 }
 
-// sendAsk sends an ask to a gateway. It is not sent if the gateway is not listed.
-func (g *gossip) sendAsk(number uint64, a sendgate.Ask) {
-	if addr, ok := g.peers.addrOf(a.To).Get(); ok {
+// sendAsk sends an ask to a gateway. It returns false if the gateway is not listed.
+func (g *gossip) sendAsk(number uint64, a sendgate.Ask) bool {
+	addr, ok := g.peers.addrOf(a.To).Get()
+	if ok {
 		g.sendKind(askKind, askMessage{
 			From:   g.process.options.Instance,
 			Number: number,
@@ -134,6 +135,7 @@
 			Report: encodeReport(a.Report),
 		}, addr)
 	}
+	return ok
 }
 
 func (g *gossip) sendKind(kind byte, m any, receivers ...string) {
--- a/internal/gateway/statements.go
+++ b/internal/gateway/statements.go
@@ -53,7 +53,8 @@
 // statementPeers sends messages about statements to other gateways. Messages may be lost.
 type statementPeers interface {
 	sendReports(reports []sendgate.Report)
-	sendAsk(number uint64, a sendgate.Ask)
+	// sendAsk returns false if the other gateway is not listed, so that the ask is not sent.
+	sendAsk(number uint64, a sendgate.Ask) bool
 }
 
 func newStatements(p *Process) *statements {
@@ -102,8 +103,9 @@
 	}
 	number := s.track(timers.Now(), done)
 	s.mu.Unlock()
-	s.peers.sendAsk(number, a)
-	timer.Sleep(waiting, timers, askTimeout)
+	if s.peers.sendAsk(number, a) {
+		timer.Sleep(waiting, timers, askTimeout)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, unanswered := s.asks[number]; unanswered {
