--- a/core/sendgate/change.go
+++ b/core/sendgate/change.go
@@ -41,7 +41,7 @@
 	Kind   Kind
 	// Limit is the limit in force in requests per second; none if it was withdrawn or expired.
 	Limit waxwingpick.Option[float64]
-	// Owner is the process that this one asks for tokens, and Owners the number of processes that give out the limit.
+	// Owner is the process from which this one requests tokens, and Owners the number of processes that give out the limit.
 	Owner  waxwingpick.InstanceID
 	Owners int
 	// Age is the time since the target stated its limit or its leave.
--- a/core/sendgate/gate.go
+++ b/core/sendgate/gate.go
@@ -32,8 +32,8 @@
 	// pings holds the processes that are checked, and jitter returns random numbers from 0 to 1.
 	pings  waxwingpick.Set[waxwingpick.InstanceID]
 	jitter func() float64
-	// askBudget bounds the asks for tokens.
-	askBudget bucket
+	// requestBudget bounds the token requests.
+	requestBudget bucket
 }
 
 // target is the state of one incarnation of a target.
@@ -55,9 +55,9 @@
 	return &Gate{
 		ttl:    limitTTL + time.Duration(random()*float64(TTLJitter)),
 		jitter: random,
-		askBudget: bucket{
-			rate:  maxAskRate,
-			burst: maxAskBurst,
+		requestBudget: bucket{
+			rate:  maxRequestRate,
+			burst: maxRequestBurst,
 		},
 		processes: newProcesses(self),
 		targets:   make(map[waxwingpick.TargetID]*target),
@@ -73,14 +73,14 @@
 }
 
 // ProcessSeen records a message of another process, which may be missing in the list. It does not show that the process
-// answers asks: processes of former versions do not.
+// responds to token requests: processes of former versions do not.
 func (g *Gate) ProcessSeen(now time.Time, id waxwingpick.InstanceID) {
 	g.processes.observe(now, id)
 }
 
-// Heard records a message of another process with statements.
-func (g *Gate) Heard(now time.Time, id waxwingpick.InstanceID) {
-	g.processes.heard(now, id)
+// MarkResponsive records a message of another process that shows that it responds to token requests.
+func (g *Gate) MarkResponsive(now time.Time, id waxwingpick.InstanceID) {
+	g.processes.markResponsive(now, id)
 }
 
 // Observe applies what a target states in the response to a request that was sent at sentAt. ran means that the target
@@ -176,14 +176,14 @@
 	return !e.leavingAt.IsZero() && now.Sub(e.leavingAt) <= leaveTTL
 }
 
-// Blocked returns the targets to which no request may be sent now. If mayAsk is set, it leaves out those whose owner may
-// be asked for a token.
-func (g *Gate) Blocked(now time.Time, mayAsk bool) waxwingpick.Set[waxwingpick.TargetID] {
+// Blocked returns the targets to which no request may be sent now. If mayRequest is set, it leaves out those for which a token
+// may be requested.
+func (g *Gate) Blocked(now time.Time, mayRequest bool) waxwingpick.Set[waxwingpick.TargetID] {
 	var blocked waxwingpick.Set[waxwingpick.TargetID]
 	g.expire(now)
 	for id, e := range g.targets {
 		kind, ok := g.blockedBy(now, id, e).Get()
-		if ok && !(mayAsk && kind == KindLimit && g.askable(now, &e.limit)) {
+		if ok && !(mayRequest && kind == KindLimit && g.mayRequest(now, &e.limit)) {
 			blocked.Add(id)
 		}
 	}
@@ -218,8 +218,8 @@
 		return AdmissionTaken
 	}
 	if kind, blocked := g.blockedBy(now, id, e).Get(); blocked {
-		if kind == KindLimit && g.askable(now, &e.limit) {
-			return AdmissionAsk
+		if kind == KindLimit && g.mayRequest(now, &e.limit) {
+			return AdmissionRequestTokens
 		}
 		return AdmissionRefused
 	}
--- a/core/sendgate/limit.go
+++ b/core/sendgate/limit.go
@@ -65,7 +65,7 @@
 	statedAt time.Time
 	// changedAt is when this process learned of the value.
 	changedAt time.Time
-	// owners give out the limit, and owner is the one that this process asks. They are valid for the list of processes with
+	// owners give out the limit, and owner is the one from which this process requests tokens. They are valid for the list of processes with
 	// the number version.
 	owners  []waxwingpick.InstanceID
 	owner   waxwingpick.InstanceID
@@ -75,14 +75,14 @@
 	// granted is the number of tokens that this process got of an owner, until grantedUntil.
 	granted      int
 	grantedUntil time.Time
-	// nextAskAt is when the owner may be asked again, and failures the number of consecutive unanswered asks.
-	nextAskAt time.Time
-	failures  int
+	// nextRequestAt is when tokens may be requested again, and failures the number of consecutive requests without a response.
+	nextRequestAt time.Time
+	failures      int
 	// sentRate is the average number of requests per second that this process sends, as of sentAt.
 	sentRate float64
 	sentAt   time.Time
-	// askers holds the last ask of each process.
-	askers map[waxwingpick.InstanceID]time.Time
+	// requesters holds the last token request of each process.
+	requesters map[waxwingpick.InstanceID]time.Time
 }
 
 // setLimit applies a value that was stated at the given time, unless a newer one is known.
@@ -146,7 +146,7 @@
 		l.version = g.processes.version
 		ranked := g.processes.ranked(id)
 		l.owners = ranked[:min(len(ranked), 1+int(perSecond/ownerRate))]
-		// Processes are dealt out evenly, and each owner gets itself.
+		// Processes are distributed evenly over the owners, and each owner is its own.
 		l.owner = l.owners[slices.Index(ranked, g.processes.self)%len(l.owners)]
 		rate, burst := 0.0, 0.0
 		if l.owner == g.processes.self {
@@ -188,10 +188,10 @@
 	return sourceNone
 }
 
-// ownTurn reports whether an owner may use a token itself. If others ask for tokens, it leaves them their part unless
+// ownTurn reports whether an owner may use a token itself. If others request tokens, it leaves them their part unless
 // nobody takes it.
 func (l *limit) ownTurn(now time.Time) bool {
-	return !now.Before(l.nextAskAt) || l.owned.tokens >= l.owned.burst-minTokens/2
+	return !now.Before(l.nextRequestAt) || l.owned.tokens >= l.owned.burst-minTokens/2
 }
 
 // take uses a token.
@@ -200,8 +200,8 @@
 	switch from {
 	case sourceOwned:
 		l.owned.tokens--
-		seconds := min(maxAskWait.Seconds(), ownTurnShare*float64(len(l.askers))/l.owned.rate)
-		l.nextAskAt = now.Add(time.Duration(seconds * float64(time.Second)))
+		seconds := min(maxRequestWait.Seconds(), ownTurnShare*float64(len(l.requesters))/l.owned.rate)
+		l.nextRequestAt = now.Add(time.Duration(seconds * float64(time.Second)))
 	case sourceGranted:
 		l.granted--
 	case sourceNone, sourceUnlimited:
@@ -227,11 +227,11 @@
 		return waxwingpick.Some(time.Duration(0))
 	}
 	if l.owner != g.processes.self {
-		return waxwingpick.Some(max(0, l.nextAskAt.Sub(now)))
+		return waxwingpick.Some(max(0, l.nextRequestAt.Sub(now)))
 	}
 	missing := max(0, 1-l.owned.tokens)
 	if l.owned.rate*g.ttl.Seconds() < missing {
 		return waxwingpick.None[time.Duration]()
 	}
-	return waxwingpick.Some(max(l.nextAskAt.Sub(now), time.Duration(missing/l.owned.rate*float64(time.Second))))
+	return waxwingpick.Some(max(l.nextRequestAt.Sub(now), time.Duration(missing/l.owned.rate*float64(time.Second))))
 }
--- a/core/sendgate/processes.go
+++ b/core/sendgate/processes.go
@@ -13,11 +13,11 @@
 	processRetention = time.Minute
 	// maxProcesses bounds the processes that are tracked.
 	maxProcesses = 1024
-	// suspectAsks is the number of unanswered asks, and suspectTime the time since the first of them, after which a process
+	// suspectRequests is the number of token requests without a response, and suspectTime the time since the first of them, after which a process
 	// is suspected to have failed and owns no limits.
-	suspectAsks = 2
-	suspectTime = 150 * time.Millisecond
-	// suspicionTTL is the time after which a suspected process is asked again.
+	suspectRequests = 2
+	suspectTime     = 150 * time.Millisecond
+	// suspicionTTL is the time after which a suspected process receives token requests again.
 	suspicionTTL = 2 * time.Second
 )
 
@@ -25,9 +25,9 @@
 type process struct {
 	// seenAt is when it was last listed or seen.
 	seenAt time.Time
-	// unanswered counts the asks since its last message, and askedAt is the time of the first of them.
-	unanswered int
-	askedAt    time.Time
+	// unanswered counts the token requests since its last message, and requestedAt is the time of the first of them.
+	unanswered  int
+	requestedAt time.Time
 	// suspectedAt is when it became suspected; zero if it is not.
 	suspectedAt time.Time
 }
@@ -36,8 +36,8 @@
 type processes struct {
 	self  waxwingpick.InstanceID
 	known map[waxwingpick.InstanceID]*process
-	// asked holds the processes with unanswered asks.
-	asked waxwingpick.Set[waxwingpick.InstanceID]
+	// pending holds the processes with token requests without a response.
+	pending waxwingpick.Set[waxwingpick.InstanceID]
 	// version is the number of the list of processes that are not suspected; it is never zero.
 	version int
 }
@@ -68,8 +68,8 @@
 	return known
 }
 
-// heard records a message that shows that a process answers asks.
-func (p *processes) heard(now time.Time, id waxwingpick.InstanceID) {
+// markResponsive records a message that shows that a process responds to token requests.
+func (p *processes) markResponsive(now time.Time, id waxwingpick.InstanceID) {
 	if known := p.observe(now, id); known != nil {
 		p.trust(id)
 	}
@@ -85,33 +85,33 @@
 		p.version++
 	}
 	known.unanswered, known.suspectedAt = 0, time.Time{}
-	p.asked.Remove(id)
+	p.pending.Remove(id)
 }
 
-// ask records that a process is asked and has to answer.
-func (p *processes) ask(now time.Time, id waxwingpick.InstanceID) {
+// requested records that a token request is sent to a process.
+func (p *processes) requested(now time.Time, id waxwingpick.InstanceID) {
 	known, ok := p.known[id]
 	if !ok {
 		return
 	}
 	if known.unanswered++; known.unanswered == 1 {
-		known.askedAt = now
-		p.asked.Add(id)
+		known.requestedAt = now
+		p.pending.Add(id)
 	}
 }
 
 // refresh updates the suspicions.
 func (p *processes) refresh(now time.Time) {
-	if p.asked.Len() == 0 {
+	if p.pending.Len() == 0 {
 		return
 	}
-	for _, id := range p.asked.Sorted() {
+	for _, id := range p.pending.Sorted() {
 		known := p.known[id]
 		switch {
 		case known == nil:
-			p.asked.Remove(id)
+			p.pending.Remove(id)
 		case known.suspectedAt.IsZero():
-			if known.unanswered >= suspectAsks && now.Sub(known.askedAt) >= suspectTime {
+			if known.unanswered >= suspectRequests && now.Sub(known.requestedAt) >= suspectTime {
 				known.suspectedAt = now
 				p.version++
 			}
@@ -125,7 +125,7 @@
 	for id, known := range p.known {
 		if now.Sub(known.seenAt) > processRetention {
 			delete(p.known, id)
-			p.asked.Remove(id)
+			p.pending.Remove(id)
 			p.version++
 		}
 	}
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -75,7 +75,7 @@
 	if cache, ok := x.cache.Get(); ok {
 		return x.chooseDecodeAgain(now, cache)
 	}
-	p := x.placeWithAsks(x.place)
+	p := x.placeWithTokens(x.place)
 	now = x.process.timers.Now()
 	if p.verdict != waxwingpick.VerdictPlaced {
 		return p.selection, x.notPlaced(now, p)
@@ -103,9 +103,9 @@
 }
 
 // place selects the engines of a model request, or the target of a plain one.
-func (x *exchange) place(now time.Time, mayAsk bool) placed {
+func (x *exchange) place(now time.Time, mayRequest bool) placed {
 	if x.service.servesModels() {
-		return x.service.chooseEngines(now, x.demand(), mayAsk)
+		return x.service.chooseEngines(now, x.demand(), mayRequest)
 	}
 	return x.service.chooseTarget(now, balance.Demand{
 		Arrived:          x.in.Arrived,
@@ -113,13 +113,13 @@
 		Deadline:         x.deadline,
 		Sent:             x.sends > 0,
 		Exclude:          x.tried,
-	}, mayAsk)
+	}, mayRequest)
 }
 
 // placeDecode selects the engine that generates after the prefill stage of a selection.
 func (x *exchange) placeDecode(c selection) placed {
-	return x.placeWithAsks(func(now time.Time, mayAsk bool) placed {
-		return x.service.chooseDecode(now, x.demand(), c, mayAsk)
+	return x.placeWithTokens(func(now time.Time, mayRequest bool) placed {
+		return x.service.chooseDecode(now, x.demand(), c, mayRequest)
 	})
 }
 
--- a/internal/gateway/place.go
+++ b/internal/gateway/place.go
@@ -7,21 +7,21 @@
 	"waxwingpick/core/sendgate"
 )
 
-// maxAsks bounds the asks for tokens of one choice of targets. Each delays the request by a round trip between gateways.
-const maxAsks = 2
+// maxTokenRequests bounds the token requests of one choice of targets. Each delays the request by a round trip between gateways.
+const maxTokenRequests = 2
 
 // placed is the result of one choice of targets.
 type placed struct {
 	selection
 	verdict waxwingpick.Verdict
-	// ask is the target whose limit's owner is to be asked for a token before the next choice; none otherwise.
-	ask waxwingpick.Option[waxwingpick.TargetID]
+	// tokenFor is the target for which a token is to be requested before the next choice; none otherwise.
+	tokenFor waxwingpick.Option[waxwingpick.TargetID]
 }
 
 // place selects targets until the gate admits the next send. choose returns its choice among the targets that are not
 // blocked, and the target that receives the next send.
-func place[T any](now time.Time, st *statements, mayAsk bool, choose func(blocked waxwingpick.Set[waxwingpick.TargetID]) (T, waxwingpick.TargetID, waxwingpick.Verdict)) (T, placed) {
-	blocked := st.blocked(now, mayAsk)
+func place[T any](now time.Time, st *statements, mayRequest bool, choose func(blocked waxwingpick.Set[waxwingpick.TargetID]) (T, waxwingpick.TargetID, waxwingpick.Verdict)) (T, placed) {
+	blocked := st.blocked(now, mayRequest)
 	for {
 		choice, next, verdict := choose(blocked)
 		p := placed{
@@ -32,10 +32,10 @@
 			switch st.take(now, next) {
 			case sendgate.AdmissionTaken:
 				return choice, p
-			case sendgate.AdmissionAsk:
-				if mayAsk {
+			case sendgate.AdmissionRequestTokens:
+				if mayRequest {
 					p.verdict = waxwingpick.VerdictBlocked
-					p.ask = waxwingpick.Some(next)
+					p.tokenFor = waxwingpick.Some(next)
 					return choice, p
 				}
 				blocked.Add(next)
@@ -55,14 +55,14 @@
 	}
 }
 
-// placeWithAsks repeats a choice of targets after asks for tokens.
-func (x *exchange) placeWithAsks(choose func(now time.Time, mayAsk bool) placed) placed {
-	for asks := 0; ; asks++ {
-		p := choose(x.process.timers.Now(), asks < maxAsks)
-		id, ok := p.ask.Get()
+// placeWithTokens repeats a choice of targets after token requests.
+func (x *exchange) placeWithTokens(choose func(now time.Time, mayRequest bool) placed) placed {
+	for requests := 0; ; requests++ {
+		p := choose(x.process.timers.Now(), requests < maxTokenRequests)
+		id, ok := p.tokenFor.Get()
 		if !ok {
 			return p
 		}
-		x.process.statements.ask(x.ctx, id)
+		x.process.statements.requestToken(x.ctx, id)
 	}
 }
--- a/internal/gateway/service.go
+++ b/internal/gateway/service.go
@@ -100,10 +100,10 @@
 }
 
 // chooseEngines selects the engines of a model request and counts the request at them.
-func (s *service) chooseEngines(now time.Time, d placement.Demand, mayAsk bool) placed {
+func (s *service) chooseEngines(now time.Time, d placement.Demand, mayRequest bool) placed {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	choice, p := place(now, s.statements, mayAsk, func(blocked waxwingpick.Set[waxwingpick.TargetID]) (placement.Choice, waxwingpick.TargetID, waxwingpick.Verdict) {
+	choice, p := place(now, s.statements, mayRequest, func(blocked waxwingpick.Set[waxwingpick.TargetID]) (placement.Choice, waxwingpick.TargetID, waxwingpick.Verdict) {
 		d.Blocked = blocked
 		choice, verdict := s.fleet.Choose(now, d)
 		return choice, choice.Prefill.OrElse(choice.Run).ID, verdict
@@ -129,11 +129,11 @@
 
 // chooseDecode selects the engine that fetches the request's prefilled KV cache, and counts the request at it. The
 // choice made before the prefill stage may be out of date.
-func (s *service) chooseDecode(now time.Time, d placement.Demand, c selection, mayAsk bool) placed {
+func (s *service) chooseDecode(now time.Time, d placement.Demand, c selection, mayRequest bool) placed {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	engine, _ := c.prefill.Get()
-	target, p := place(now, s.statements, mayAsk, func(blocked waxwingpick.Set[waxwingpick.TargetID]) (waxwingpick.Target, waxwingpick.TargetID, waxwingpick.Verdict) {
+	target, p := place(now, s.statements, mayRequest, func(blocked waxwingpick.Set[waxwingpick.TargetID]) (waxwingpick.Target, waxwingpick.TargetID, waxwingpick.Verdict) {
 		d.Blocked = blocked
 		target, ok := s.fleet.ChooseRun(now, d, engine)
 		if !ok {
@@ -184,10 +184,10 @@
 }
 
 // chooseTarget selects a target of a plain service and counts the call at it.
-func (s *service) chooseTarget(now time.Time, d balance.Demand, mayAsk bool) placed {
+func (s *service) chooseTarget(now time.Time, d balance.Demand, mayRequest bool) placed {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	choice, p := place(now, s.statements, mayAsk, func(blocked waxwingpick.Set[waxwingpick.TargetID]) (balance.Choice, waxwingpick.TargetID, waxwingpick.Verdict) {
+	choice, p := place(now, s.statements, mayRequest, func(blocked waxwingpick.Set[waxwingpick.TargetID]) (balance.Choice, waxwingpick.TargetID, waxwingpick.Verdict) {
 		d.Blocked = blocked
 		choice, verdict := s.pool.Choose(now, d)
 		return choice, choice.Target.ID, verdict
--- a/internal/gateway/statementlink.go
+++ b/internal/gateway/statementlink.go
@@ -13,9 +13,9 @@
 
 // The first bytes of messages about statements. A summary is a CBOR array instead.
 const (
-	reportsKind = 0x02
-	askKind     = 0x03
-	answerKind  = 0x04
+	reportsKind       = 0x02
+	tokenRequestKind  = 0x03
+	tokenResponseKind = 0x04
 )
 
 // maxReportAge bounds the age that a received report may state.
@@ -30,8 +30,8 @@
 	Reports []statementReport
 }
 
-// askMessage asks the owner of a limit for tokens.
-type askMessage struct {
+// tokenRequestMessage requests tokens from the owner of a limit.
+type tokenRequestMessage struct {
 	_      struct{} `cbor:",toarray"`
 	From   waxwingpick.InstanceID
 	Number uint64
@@ -39,8 +39,8 @@
 	Report statementReport
 }
 
-// answerMessage answers an askMessage.
-type answerMessage struct {
+// tokenResponseMessage is the response to a tokenRequestMessage.
+type tokenResponseMessage struct {
 	_          struct{} `cbor:",toarray"`
 	From       waxwingpick.InstanceID
 	Number     uint64
@@ -124,11 +124,11 @@
 	g.sendKind(reportsKind, m, receivers...)
 }
 
-// sendAsk sends an ask to a gateway. It returns false if the gateway is not listed.
-func (g *gossip) sendAsk(number uint64, a sendgate.Ask) bool {
+// sendTokenRequest sends a token request to a gateway. It returns false if the gateway is not listed.
+func (g *gossip) sendTokenRequest(number uint64, a sendgate.TokenRequest) bool {
 	addr, ok := g.peers.addrOf(a.To).Get()
 	if ok {
-		g.sendKind(askKind, askMessage{
+		g.sendKind(tokenRequestKind, tokenRequestMessage{
 			From:   g.process.options.Instance,
 			Number: number,
 			Tokens: a.Tokens,
@@ -153,10 +153,10 @@
 	switch kind {
 	case reportsKind:
 		err = receiveAs(encoded, func(m reportsMessage) { g.receiveReports(now, m) })
-	case askKind:
-		err = receiveAs(encoded, func(m askMessage) { g.receiveAsk(now, m) })
-	case answerKind:
-		err = receiveAs(encoded, func(m answerMessage) { g.receiveAnswer(now, m) })
+	case tokenRequestKind:
+		err = receiveAs(encoded, func(m tokenRequestMessage) { g.receiveTokenRequest(now, m) })
+	case tokenResponseKind:
+		err = receiveAs(encoded, func(m tokenResponseMessage) { g.receiveTokenResponse(now, m) })
 	default:
 		return false
 	}
@@ -193,7 +193,7 @@
 	g.process.statements.apply(now, m.From, reports)
 }
 
-func (g *gossip) receiveAsk(now time.Time, m askMessage) {
+func (g *gossip) receiveTokenRequest(now time.Time, m tokenRequestMessage) {
 	report, ok := m.Report.decode()
 	if !ok || !g.foreign(m.From) {
 		return
@@ -202,26 +202,26 @@
 	if !listed {
 		return
 	}
-	answer := g.process.statements.asked(now, m.From, sendgate.Ask{
+	response := g.process.statements.tokenRequest(now, m.From, sendgate.TokenRequest{
 		To:     g.process.options.Instance,
 		Report: report,
 		Tokens: m.Tokens,
 	})
-	g.sendKind(answerKind, answerMessage{
+	g.sendKind(tokenResponseKind, tokenResponseMessage{
 		From:       g.process.options.Instance,
 		Number:     m.Number,
-		Target:     answer.Target,
-		Tokens:     answer.Tokens,
-		WaitMillis: answer.Wait.Milliseconds(),
-		Owner:      answer.Owner,
+		Target:     response.Target,
+		Tokens:     response.Tokens,
+		WaitMillis: response.Wait.Milliseconds(),
+		Owner:      response.Owner,
 	}, addr)
 }
 
-func (g *gossip) receiveAnswer(now time.Time, m answerMessage) {
+func (g *gossip) receiveTokenResponse(now time.Time, m tokenResponseMessage) {
 	if !g.foreign(m.From) {
 		return
 	}
-	g.process.statements.answered(now, m.From, m.Number, sendgate.Answer{
+	g.process.statements.tokenResponse(now, m.From, m.Number, sendgate.TokenResponse{
 		Target: m.Target,
 		Tokens: m.Tokens,
 		Wait:   time.Duration(max(0, min(m.WaitMillis, maxReportAge.Milliseconds()))) * time.Millisecond,
--- a/internal/gateway/statements.go
+++ b/internal/gateway/statements.go
@@ -19,10 +19,10 @@
 	statementsInterval = 100 * time.Millisecond
 	// statementsFanOut is the number of gateways that receive each message in a larger fleet. They forward it.
 	statementsFanOut = 3
-	// askTimeout bounds the wait of a request for the answer of another gateway.
-	askTimeout = 50 * time.Millisecond
-	// answerTTL is how long the answer to an ask is accepted.
-	answerTTL = 2 * time.Second
+	// tokenTimeout bounds the wait of a request for the response of another gateway.
+	tokenTimeout = 50 * time.Millisecond
+	// responseTTL is how long the response to a token request is accepted.
+	responseTTL = 2 * time.Second
 	// minBlockedRetryAfter and maxBlockedRetryAfter bound the Retry-After of a request that no target accepts because of
 	// what the targets state.
 	minBlockedRetryAfter = 100 * time.Millisecond
@@ -38,32 +38,32 @@
 
 	mu   sync.Mutex
 	gate *sendgate.Gate
-	// asks holds the asks without an answer by their number, and lastAsk is the number of the last one.
-	asks    map[uint64]pendingAsk
-	lastAsk uint64
+	// requests holds the token requests without a response by their number, and lastRequest is the number of the last one.
+	requests    map[uint64]pendingTokenRequest
+	lastRequest uint64
 }
 
-// pendingAsk is an ask without an answer.
-type pendingAsk struct {
+// pendingTokenRequest is a token request without a response.
+type pendingTokenRequest struct {
 	sentAt time.Time
-	// done ends the wait of the request that asked.
+	// done ends the wait for the response.
 	done func()
 }
 
 // statementPeers sends messages about statements to other gateways. Messages may be lost.
 type statementPeers interface {
 	sendReports(reports []sendgate.Report)
-	// sendAsk returns false if the other gateway is not listed, so that the ask is not sent.
-	sendAsk(number uint64, a sendgate.Ask) bool
+	// sendTokenRequest returns false if the other gateway is not listed, so that nothing is sent.
+	sendTokenRequest(number uint64, a sendgate.TokenRequest) bool
 }
 
 func newStatements(p *Process) *statements {
 	return &statements{
-		process: p,
-		gate:    sendgate.New(p.options.Instance, newRandom().Float64),
-		asks:    make(map[uint64]pendingAsk),
-		// Answers to the asks of a former incarnation do not match.
-		lastAsk: rand.Uint64(),
+		process:  p,
+		gate:     sendgate.New(p.options.Instance, newRandom().Float64),
+		requests: make(map[uint64]pendingTokenRequest),
+		// Responses to the requests of a former incarnation do not match.
+		lastRequest: rand.Uint64(),
 	}
 }
 
@@ -75,12 +75,12 @@
 	s.gate.Observe(now, sentAt, t, stated, ran)
 }
 
-// blocked returns the targets to which no request may be sent now. If mayAsk is set, it leaves out those whose owner may
-// be asked for a token.
-func (s *statements) blocked(now time.Time, mayAsk bool) waxwingpick.Set[waxwingpick.TargetID] {
+// blocked returns the targets to which no request may be sent now. If mayRequest is set, it leaves out those for which a token
+// may be requested.
+func (s *statements) blocked(now time.Time, mayRequest bool) waxwingpick.Set[waxwingpick.TargetID] {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.gate.Blocked(now, mayAsk)
+	return s.gate.Blocked(now, mayRequest)
 }
 
 // take decides whether a request may be sent to a target, and counts it as sent if it may.
@@ -90,65 +90,65 @@
 	return s.gate.Take(now, id)
 }
 
-// ask asks the owner of a target's limit for tokens and waits for the answer.
-func (s *statements) ask(ctx context.Context, id waxwingpick.TargetID) {
+// requestToken requests tokens from the owner of a target's limit and waits for the response.
+func (s *statements) requestToken(ctx context.Context, id waxwingpick.TargetID) {
 	timers := s.process.timers
 	waiting, done := context.WithCancel(ctx)
 	defer done()
 	s.mu.Lock()
-	a, ok := s.gate.Ask(timers.Now(), id)
+	a, ok := s.gate.RequestTokens(timers.Now(), id)
 	if !ok || s.peers == nil {
 		s.mu.Unlock()
 		return
 	}
 	number := s.track(timers.Now(), done)
 	s.mu.Unlock()
-	if s.peers.sendAsk(number, a) {
-		timer.Sleep(waiting, timers, askTimeout)
+	if s.peers.sendTokenRequest(number, a) {
+		timer.Sleep(waiting, timers, tokenTimeout)
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, unanswered := s.asks[number]; unanswered {
-		s.gate.Unanswered(timers.Now(), a)
+	if _, unanswered := s.requests[number]; unanswered {
+		s.gate.RequestTimedOut(timers.Now(), a)
 	}
 }
 
-// track returns the number of a new ask.
+// track returns the number of a new token request.
 func (s *statements) track(now time.Time, done func()) uint64 {
-	s.lastAsk++
-	s.asks[s.lastAsk] = pendingAsk{
+	s.lastRequest++
+	s.requests[s.lastRequest] = pendingTokenRequest{
 		sentAt: now,
 		done:   done,
 	}
-	return s.lastAsk
+	return s.lastRequest
 }
 
-// answered applies the answer to an ask, also one that comes too late for its request. A duplicate has no effect, since its
+// tokenResponse applies the response to a token request, also a late one. A duplicate has no effect, since its
 // tokens were granted once.
-func (s *statements) answered(now time.Time, from waxwingpick.InstanceID, number uint64, a sendgate.Answer) {
+func (s *statements) tokenResponse(now time.Time, from waxwingpick.InstanceID, number uint64, r sendgate.TokenResponse) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	pending, ok := s.asks[number]
+	pending, ok := s.requests[number]
 	if !ok {
 		return
 	}
-	delete(s.asks, number)
-	s.gate.Answered(now, from, a)
+	delete(s.requests, number)
+	s.gate.HandleResponse(now, from, r)
 	pending.done()
 }
 
-// asked answers the ask of another gateway.
-func (s *statements) asked(now time.Time, from waxwingpick.InstanceID, a sendgate.Ask) sendgate.Answer {
+// tokenRequest returns the response to the token request of another gateway.
+func (s *statements) tokenRequest(now time.Time, from waxwingpick.InstanceID, r sendgate.TokenRequest) sendgate.TokenResponse {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.gate.Asked(now, from, a)
+	return s.gate.HandleRequest(now, from, r)
 }
 
 // apply applies the reports of another gateway.
 func (s *statements) apply(now time.Time, from waxwingpick.InstanceID, reports []sendgate.Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.gate.Heard(now, from)
+	s.gate.MarkResponsive(now, from)
 	for _, r := range reports {
 		s.gate.Apply(now, r)
 	}
@@ -205,9 +205,9 @@
 	s.mu.Lock()
 	changes := s.gate.Changes(now)
 	counts := s.gate.Counts(now)
-	maps.DeleteFunc(s.asks, func(_ uint64, a pendingAsk) bool { return now.Sub(a.sentAt) > answerTTL })
+	maps.DeleteFunc(s.requests, func(_ uint64, a pendingTokenRequest) bool { return now.Sub(a.sentAt) > responseTTL })
 	var reports []sendgate.Report
-	pings := make(map[uint64]sendgate.Ask)
+	pings := make(map[uint64]sendgate.TokenRequest)
 	if s.peers != nil {
 		reports = s.gate.Reports(now)
 		for _, a := range s.gate.Pings(now) {
@@ -226,7 +226,7 @@
 		s.peers.sendReports(reports)
 	}
 	for number, a := range pings {
-		s.peers.sendAsk(number, a)
+		s.peers.sendTokenRequest(number, a)
 	}
 }
 
--- a/internal/gateway/statements_test.go
+++ b/internal/gateway/statements_test.go
@@ -13,20 +13,20 @@
 	"waxwingpick/core/timer"
 )
 
-// askRecorder keeps the asks instead of sending them.
-type askRecorder struct {
+// requestRecorder keeps the numbers of token requests instead of sending them.
+type requestRecorder struct {
 	numbers chan uint64
 }
 
-func (r askRecorder) sendReports([]sendgate.Report) {}
+func (r requestRecorder) sendReports([]sendgate.Report) {}
 
-func (r askRecorder) sendAsk(number uint64, _ sendgate.Ask) bool {
+func (r requestRecorder) sendTokenRequest(number uint64, _ sendgate.TokenRequest) bool {
 	r.numbers <- number
 	return true
 }
 
-// asker returns the statements of a process that asks another one for tokens of "target".
-func asker(t *testing.T, timers *timer.Manual) (*statements, askRecorder, waxwingpick.InstanceID) {
+// requester returns the statements of a process that requests tokens of "target" from another one.
+func requester(t *testing.T, timers *timer.Manual) (*statements, requestRecorder, waxwingpick.InstanceID) {
 	t.Helper()
 	ids := []waxwingpick.InstanceID{"a", "b"}
 	for i, id := range ids {
@@ -36,7 +36,7 @@
 			},
 			timers: timers,
 		})
-		r := askRecorder{
+		r := requestRecorder{
 			numbers: make(chan uint64, 10),
 		}
 		s.peers = r
@@ -46,29 +46,29 @@
 		}, waxwingpick.Statement{
 			RequestLimit: waxwingpick.Some(1.0),
 		}, true)
-		if s.take(timers.Now(), "target") == sendgate.AdmissionAsk {
+		if s.take(timers.Now(), "target") == sendgate.AdmissionRequestTokens {
 			return s, r, ids[1-i]
 		}
 	}
-	t.Fatal("no process asks")
-	return nil, askRecorder{}, ""
+	t.Fatal("no process requests tokens")
+	return nil, requestRecorder{}, ""
 }
 
-// TestAnswerCountsOnce guards against more requests than granted after a duplicated or an unsolicited answer.
-func TestAnswerCountsOnce(t *testing.T) {
+// TestTokenResponseCountsOnce guards against more requests than granted after a duplicated or an unsolicited response.
+func TestTokenResponseCountsOnce(t *testing.T) {
 	timers := timer.NewManual(time.Unix(1_000_000, 0))
-	s, sent, owner := asker(t, timers)
-	var asking conc.WaitGroup
-	asking.Go(func() { s.ask(t.Context(), "target") })
+	s, sent, owner := requester(t, timers)
+	var requesting conc.WaitGroup
+	requesting.Go(func() { s.requestToken(t.Context(), "target") })
 	number := <-sent.numbers
-	granted := sendgate.Answer{
+	granted := sendgate.TokenResponse{
 		Target: "target",
 		Tokens: 1,
 	}
 	for _, n := range []uint64{number + 1, number, number} {
-		s.answered(timers.Now(), owner, n, granted)
+		s.tokenResponse(timers.Now(), owner, n, granted)
 	}
-	asking.Wait()
+	requesting.Wait()
 	require.Equal(t, sendgate.AdmissionTaken, s.take(timers.Now(), "target"))
 	require.NotEqual(t, sendgate.AdmissionTaken, s.take(timers.Now(), "target"))
 }
@@ -103,8 +103,8 @@
 		for _, g := range all {
 			s := g.process.statements
 			admission := s.take(clocks[0].Now(), "a")
-			if admission == sendgate.AdmissionAsk {
-				s.ask(t.Context(), "a")
+			if admission == sendgate.AdmissionRequestTokens {
+				s.requestToken(t.Context(), "a")
 				admission = s.take(clocks[0].Now(), "a")
 			}
 			if admission == sendgate.AdmissionTaken {
@@ -147,10 +147,10 @@
 		reportsKind: reportsMessage{
 			From: "b",
 		},
-		askKind: askMessage{
+		tokenRequestKind: tokenRequestMessage{
 			From: "b",
 		},
-		answerKind: answerMessage{
+		tokenResponseKind: tokenResponseMessage{
 			From: "b",
 		},
 	} {
--- a/internal/limitfleet/check.go
+++ b/internal/limitfleet/check.go
@@ -26,7 +26,7 @@
 func (f *Fleet) Worst(i int, multiple float64) float64 {
 	t := f.targets[i]
 	worst := -multiple * Window.Seconds()
-	for n, s := range t.spells {
+	for n, s := range t.periods {
 		end := s.to
 		if end.IsZero() {
 			end = f.now
@@ -34,8 +34,8 @@
 		begin := s.from.Add(Contact)
 		highest := s.perSecond
 		// After a change, the windows that reach back before it may hold what the former limit allowed.
-		if n > 0 && t.spells[n-1].to.Equal(s.from) {
-			highest = max(highest, t.spells[n-1].perSecond)
+		if n > 0 && t.periods[n-1].to.Equal(s.from) {
+			highest = max(highest, t.periods[n-1].perSecond)
 			begin = s.from.Add(Grace)
 		}
 		var counted []time.Time
@@ -58,11 +58,11 @@
 // counts reports whether the sender of a request knew the limit and was not disturbed.
 func (f *Fleet) counts(a arrival) bool {
 	switch {
-	case a.told.IsZero() || a.at.Sub(a.told) < Grace:
+	case a.learnedAt.IsZero() || a.at.Sub(a.learnedAt) < Grace:
 		return false
 	case a.from.started != a.started || !a.from.alive():
 		return false
-	case a.from.excused.After(a.told):
+	case a.from.excused.After(a.learnedAt):
 		return false
 	}
 	return true
@@ -84,9 +84,9 @@
 func (f *Fleet) Used(i int, after time.Duration) float64 {
 	t := f.targets[i]
 	used, allowed := 0.0, 0.0
-	for n, s := range t.spells {
+	for n, s := range t.periods {
 		from, end := s.from, s.to
-		if n == 0 || !t.spells[n-1].to.Equal(s.from) {
+		if n == 0 || !t.periods[n-1].to.Equal(s.from) {
 			from = from.Add(after)
 		}
 		if end.IsZero() {
--- a/internal/limitfleet/fleet.go
+++ b/internal/limitfleet/fleet.go
@@ -23,11 +23,11 @@
 	// fanOut of them.
 	smallFleet = 8
 	fanOut     = 3
-	// askTimeout is how long a request waits for the answer of an owner, and maxAsks bounds its asks.
-	askTimeout = 50 * time.Millisecond
-	maxAsks    = 2
+	// tokenTimeout is how long a request waits for the response of an owner, and maxTokenRequests bounds its token requests.
+	tokenTimeout     = 50 * time.Millisecond
+	maxTokenRequests = 2
 	// headerBytes is the size of a message without reports, with the headers of IP and UDP, and reportBytes that of a report
-	// or an answer.
+	// or a token response.
 	headerBytes = 60
 	reportBytes = 45
 	// listInterval is the time between two readings of the list, and listDelay the time for which killed processes stay on
@@ -61,8 +61,8 @@
 	frozenUntil time.Time
 	listedAt    time.Time
 	cutUntil    time.Time
-	// told is when the process first received the limit of each target in its current spell.
-	told map[waxwingpick.TargetID]time.Time
+	// learnedAt is when the process first received the limit of each target in its current period.
+	learnedAt map[waxwingpick.TargetID]time.Time
 	// served counts the requests sent to targets, bytes those of messages sent and received.
 	served int
 	bytes  int
@@ -79,14 +79,14 @@
 type arrival struct {
 	at   time.Time
 	from *process
-	// told is when the sender first received the limit; zero if it had not.
-	told time.Time
+	// learnedAt is when the sender first received the limit; zero if it had not.
+	learnedAt time.Time
 	// started is the start of the sender's incarnation.
 	started time.Time
 }
 
-// spell is a period in which a target states one limit.
-type spell struct {
+// period is a period in which a target states one limit.
+type period struct {
 	from, to  time.Time
 	perSecond float64
 }
@@ -95,7 +95,7 @@
 type Target struct {
 	info     waxwingpick.Target
 	limit    waxwingpick.Option[float64]
-	spells   []spell
+	periods  []period
 	arrivals []arrival
 }
 
@@ -216,7 +216,7 @@
 	p.gate = sendgate.New(p.id, f.rand.Float64)
 	p.started = f.now
 	p.killedAt = time.Time{}
-	p.told = make(map[waxwingpick.TargetID]time.Time)
+	p.learnedAt = make(map[waxwingpick.TargetID]time.Time)
 	f.setList(p)
 }
 
@@ -266,18 +266,18 @@
 		return
 	}
 	if _, limited := t.limit.Get(); limited {
-		t.spells[len(t.spells)-1].to = f.now
+		t.periods[len(t.periods)-1].to = f.now
 	}
 	perSecond, limited := limit.Get()
 	if limited {
-		t.spells = append(t.spells, spell{
+		t.periods = append(t.periods, period{
 			from:      f.now,
 			perSecond: perSecond,
 		})
 	}
 	if _, before := t.limit.Get(); !before || !limited {
 		for _, p := range f.processes {
-			delete(p.told, t.info.ID)
+			delete(p.learnedAt, t.info.ID)
 		}
 	}
 	t.limit = limit
@@ -343,7 +343,7 @@
 			}
 		}
 		for _, a := range p.gate.Pings(f.now) {
-			f.sendAsk(p, a, func() {})
+			f.sendTokenRequest(p, a, func() {})
 		}
 	}
 }
@@ -389,18 +389,18 @@
 
 func (f *Fleet) sendReports(from, to *process, reports []sendgate.Report) {
 	f.send(from, to, headerBytes+len(reports)*reportBytes, func() {
-		to.gate.Heard(f.now, from.id)
+		to.gate.MarkResponsive(f.now, from.id)
 		for _, r := range reports {
 			if _, limited := r.Limit.Get(); limited {
-				f.tell(to, r.Target)
+				f.learn(to, r.Target)
 			}
 			to.gate.Apply(f.now, r)
 		}
 	})
 }
 
-// sendAsk sends an ask and calls done once, after its answer or its time-out.
-func (f *Fleet) sendAsk(p *process, a sendgate.Ask, done func()) {
+// sendTokenRequest sends a token request and calls done once, after its response or its time-out.
+func (f *Fleet) sendTokenRequest(p *process, a sendgate.TokenRequest, done func()) {
 	finished := false
 	finish := func() {
 		if !finished {
@@ -410,30 +410,30 @@
 	}
 	to := f.process(a.To)
 	f.send(p, to, headerBytes+reportBytes, func() {
-		answer := to.gate.Asked(f.now, p.id, a)
+		response := to.gate.HandleRequest(f.now, p.id, a)
 		f.send(to, p, headerBytes+reportBytes, func() {
-			p.gate.Answered(f.now, to.id, answer)
+			p.gate.HandleResponse(f.now, to.id, response)
 			finish()
 		})
 	})
 	started := p.started
 	f.events = append(f.events, event{
-		at: f.now.Add(askTimeout),
+		at: f.now.Add(tokenTimeout),
 		do: func() {
 			if finished || !p.running(f.now) || !p.started.Equal(started) {
 				finished = true
 				return
 			}
-			p.gate.Unanswered(f.now, a)
+			p.gate.RequestTimedOut(f.now, a)
 			finish()
 		},
 	})
 }
 
-// tell records that a process knows the limit of a target.
-func (f *Fleet) tell(p *process, id waxwingpick.TargetID) {
-	if _, ok := p.told[id]; !ok {
-		p.told[id] = f.now
+// learn records that a process knows the limit of a target.
+func (f *Fleet) learn(p *process, id waxwingpick.TargetID) {
+	if _, ok := p.learnedAt[id]; !ok {
+		p.learnedAt[id] = f.now
 	}
 }
 
@@ -443,13 +443,13 @@
 			return p
 		}
 	}
-	panic("ask to an unknown process " + id)
+	panic("token request to an unknown process " + id)
 }
 
-// request sends a request to the first target that may receive one, after asks asks for it. The order of the targets
+// request sends a request to the first target that may receive one, after the given number of token requests. The order of the targets
 // begins with the given one.
-func (f *Fleet) request(p *process, first, asks int) {
-	blocked := p.gate.Blocked(f.now, asks < maxAsks)
+func (f *Fleet) request(p *process, first, tokenRequests int) {
+	blocked := p.gate.Blocked(f.now, tokenRequests < maxTokenRequests)
 	for i := range f.targets {
 		index := (first + i) % len(f.targets)
 		t := f.targets[index]
@@ -460,9 +460,9 @@
 		case sendgate.AdmissionTaken:
 			f.serve(p, t)
 			return
-		case sendgate.AdmissionAsk:
-			if a, ok := p.gate.Ask(f.now, t.info.ID); ok {
-				f.sendAsk(p, a, func() { f.request(p, index, asks+1) })
+		case sendgate.AdmissionRequestTokens:
+			if a, ok := p.gate.RequestTokens(f.now, t.info.ID); ok {
+				f.sendTokenRequest(p, a, func() { f.request(p, index, tokenRequests+1) })
 				return
 			}
 		case sendgate.AdmissionRefused:
@@ -475,10 +475,10 @@
 func (f *Fleet) serve(p *process, t *Target) {
 	p.served++
 	t.arrivals = append(t.arrivals, arrival{
-		at:      f.now,
-		from:    p,
-		told:    p.told[t.info.ID],
-		started: p.started,
+		at:        f.now,
+		from:      p,
+		learnedAt: p.learnedAt[t.info.ID],
+		started:   p.started,
 	})
 	f.respond(p, t)
 }
@@ -493,7 +493,7 @@
 				return
 			}
 			if _, limited := stated.Get(); limited {
-				f.tell(p, t.info.ID)
+				f.learn(p, t.info.ID)
 			}
 			p.gate.Observe(f.now, sentAt, t.info, waxwingpick.Statement{
 				RequestLimit: stated,
--- a/internal/measure/statements/main.go
+++ b/internal/measure/statements/main.go
@@ -50,7 +50,7 @@
 	name string
 	// faults are the faults of messages.
 	faults limitfleet.Faults
-	strike func(f *limitfleet.Fleet, r *rand.Rand)
+	inject func(f *limitfleet.Fleet, r *rand.Rand)
 }
 
 func faults() []fault {
@@ -58,7 +58,7 @@
 	return []fault{
 		{
 			name: "kill",
-			strike: func(f *limitfleet.Fleet, r *rand.Rand) {
+			inject: func(f *limitfleet.Fleet, r *rand.Rand) {
 				i := anyOf(f, r)
 				f.Kill(i)
 				f.Run(restartTime)
@@ -67,19 +67,19 @@
 		},
 		{
 			name: "freeze",
-			strike: func(f *limitfleet.Fleet, r *rand.Rand) {
+			inject: func(f *limitfleet.Fleet, r *rand.Rand) {
 				f.Freeze(anyOf(f, r), 2*time.Second)
 			},
 		},
 		{
 			name: "cut",
-			strike: func(f *limitfleet.Fleet, r *rand.Rand) {
+			inject: func(f *limitfleet.Fleet, r *rand.Rand) {
 				f.Cut(anyOf(f, r), 2*time.Second)
 			},
 		},
 		{
 			name: "add",
-			strike: func(f *limitfleet.Fleet, _ *rand.Rand) {
+			inject: func(f *limitfleet.Fleet, _ *rand.Rand) {
 				f.Add()
 			},
 		},
@@ -97,7 +97,7 @@
 		},
 		{
 			name: "change",
-			strike: func(f *limitfleet.Fleet, r *rand.Rand) {
+			inject: func(f *limitfleet.Fleet, r *rand.Rand) {
 				f.State(r.IntN(f.Targets()), waxwingpick.Some(1+10*r.Float64()))
 			},
 		},
@@ -167,8 +167,8 @@
 	}
 	for range int(run / faultPeriod) {
 		f.Run(faultPeriod)
-		if r.fault.strike != nil {
-			r.fault.strike(f, random)
+		if r.fault.inject != nil {
+			r.fault.inject(f, random)
 		}
 	}
 	out := result{
@@ -192,7 +192,7 @@
 		return r.err.Error()
 	case r.demand > 1 && r.used < requiredUse:
 		return "not used"
-	case r.fault.strike == nil && r.demand > 1 && r.mean >= minMean && r.least < requiredServed*r.mean:
+	case r.fault.inject == nil && r.demand > 1 && r.mean >= minMean && r.least < requiredServed*r.mean:
 		return "not shared"
 	}
 	return ""
