--- a/core/suspect/losses.go
+++ b/core/suspect/losses.go
@@ -36,14 +36,34 @@
 }
 
 type loss struct {
-	fingerprint Fingerprint
-	at          time.Time
+	request Flight
+	at      time.Time
+}
+
+// Flight is a request in flight at a target.
+type Flight struct {
+	ID          waxwingpick.RequestID
+	Fingerprint Fingerprint
+	// Parts are the IDs of the parts of its prompt, in order.
+	Parts  []string
+	SentAt time.Time
+	// BeganAt is when the response began; none if it had not begun.
+	BeganAt waxwingpick.Option[time.Time]
 }
 
 // DetectedCrash is a detected crash with the requests that were in flight at it.
 type DetectedCrash struct {
 	Crash    Crash
-	InFlight []Fingerprint
+	InFlight []Flight
+}
+
+// Fingerprints returns the fingerprints of the requests in flight.
+func (d DetectedCrash) Fingerprints() []Fingerprint {
+	all := make([]Fingerprint, 0, len(d.InFlight))
+	for _, f := range d.InFlight {
+		all = append(all, f.Fingerprint)
+	}
+	return all
 }
 
 // NewLosses returns a Losses without records.
@@ -55,17 +75,17 @@
 
 // ResponseLost records that a target's response to a request broke off. It returns the request if that target has
 // crashed.
-func (l *Losses) ResponseLost(now time.Time, t waxwingpick.Target, f Fingerprint) waxwingpick.Option[DetectedCrash] {
+func (l *Losses) ResponseLost(now time.Time, t waxwingpick.Target, f Flight) waxwingpick.Option[DetectedCrash] {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	current := l.incarnation(now, t)
 	if !current.downAt.IsZero() && now.Sub(current.downAt) <= lossWindow {
-		return sighting(now, t, []Fingerprint{f})
+		return sighting(now, t, []Flight{f})
 	}
 	if len(current.lost) < maxLosses {
 		current.lost = append(current.lost, loss{
-			fingerprint: f,
-			at:          now,
+			request: f,
+			at:      now,
 		})
 	}
 	return waxwingpick.None[DetectedCrash]()
@@ -78,10 +98,10 @@
 	defer l.mu.Unlock()
 	current := l.incarnation(now, t)
 	current.downAt = now
-	var inFlight []Fingerprint
+	var inFlight []Flight
 	for _, lost := range current.lost {
 		if now.Sub(lost.at) <= lossWindow {
-			inFlight = append(inFlight, lost.fingerprint)
+			inFlight = append(inFlight, lost.request)
 		}
 	}
 	current.lost = nil
@@ -113,7 +133,7 @@
 	return fmt.Sprintf("%s/%d", t.ID, t.StartUnixMillis)
 }
 
-func sighting(now time.Time, t waxwingpick.Target, inFlight []Fingerprint) waxwingpick.Option[DetectedCrash] {
+func sighting(now time.Time, t waxwingpick.Target, inFlight []Flight) waxwingpick.Option[DetectedCrash] {
 	return waxwingpick.Some(DetectedCrash{
 		Crash: Crash{
 			ID:     incarnationID(t),
--- a/core/suspect/losses_test.go
+++ b/core/suspect/losses_test.go
@@ -12,6 +12,13 @@
 	"waxwingpick/core/suspect"
 )
 
+// flight returns a request in flight with a fingerprint.
+func flight(f suspect.Fingerprint) suspect.Flight {
+	return suspect.Flight{
+		Fingerprint: f,
+	}
+}
+
 func TestLosses(t *testing.T) {
 	one := waxwingpick.Target{
 		ID:              "one",
@@ -25,7 +32,7 @@
 	type event func(l *suspect.Losses, start time.Time) waxwingpick.Option[suspect.DetectedCrash]
 	lost := func(target waxwingpick.Target, f suspect.Fingerprint, after time.Duration) event {
 		return func(l *suspect.Losses, start time.Time) waxwingpick.Option[suspect.DetectedCrash] {
-			return l.ResponseLost(start.Add(after), target, f)
+			return l.ResponseLost(start.Add(after), target, flight(f))
 		}
 	}
 	down := func(target waxwingpick.Target, after time.Duration) event {
@@ -77,7 +84,7 @@
 			}
 			got, _ := last.Get()
 			require.Equal(t, test.crash, got.Crash.ID)
-			require.Equal(t, test.want, got.InFlight)
+			require.Equal(t, test.want, append([]suspect.Fingerprint(nil), got.Fingerprints()...))
 		})
 	}
 }
@@ -93,7 +100,7 @@
 		require.NoError(t, err)
 		record := func(s waxwingpick.Option[suspect.DetectedCrash]) {
 			if one, ok := s.Get(); ok {
-				set.Crashed(now, one.Crash, one.InFlight)
+				set.Crashed(now, one.Crash, one.Fingerprints())
 			}
 		}
 		crashed := make(map[suspect.Fingerprint]int)
@@ -118,7 +125,7 @@
 				record(losses.TargetDown(now, target))
 			}
 			for f := range inFlight {
-				record(losses.ResponseLost(now, target, f))
+				record(losses.ResponseLost(now, target, flight(f)))
 				if crash {
 					crashed[f]++
 				}
--- a/inbound.go
+++ b/inbound.go
@@ -22,6 +22,15 @@
 	MaxOutput int
 }
 
+// PartIDs returns the IDs of the parts in order.
+func (p Prompt) PartIDs() []string {
+	ids := make([]string, 0, len(p.Parts))
+	for _, part := range p.Parts {
+		ids = append(ids, part.ID)
+	}
+	return ids
+}
+
 // Inbound is a caller's request as received by a listener. Its body is opaque.
 type Inbound struct {
 	ID     RequestID
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -29,6 +29,9 @@
 	// refusal says why the attempt produced no usable response; nil if it did.
 	refusal *waxwingpick.Refusal
 	err     error
+	sentAt  time.Time
+	// beganAt is when the target's response began; none if it did not begin.
+	beganAt waxwingpick.Option[time.Time]
 }
 
 // unsent reports whether no byte reached the target.
@@ -176,6 +179,10 @@
 	})
 	x.observeStatement(sentAt, chosen.target, reply.Statement, !reply.NotRun)
 	s := x.classify(reply, err)
+	s.sentAt = sentAt
+	if reply.Status != 0 && !reply.NotRun {
+		s.beganAt = waxwingpick.Some(x.process.timers.Now())
+	}
 	if s.refusal != nil {
 		if s.unsent() {
 			x.attempts--
@@ -302,7 +309,18 @@
 	case s.unsent():
 		x.process.crashTracker.unreachable(target)
 	default:
-		x.process.crashTracker.responseLost(target, x.fingerprint())
+		x.process.crashTracker.responseLost(target, x.flight(s))
+	}
+}
+
+// flight describes the request in flight at the target of an attempt.
+func (x *exchange) flight(s sendResult) suspect.Flight {
+	return suspect.Flight{
+		ID:          x.in.ID,
+		Fingerprint: x.fingerprint(),
+		Parts:       x.in.Prompt.PartIDs(),
+		SentAt:      s.sentAt,
+		BeganAt:     s.beganAt,
 	}
 }
 
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -31,6 +31,9 @@
 	// is more than any target runs at once.
 	maxCrashesPerMessage = 8
 	maxRequestsPerCrash  = 128
+	// maxLoggedFlights bounds the requests of one log line about a crash, and maxLoggedParts the prompt parts of each.
+	maxLoggedFlights = 32
+	maxLoggedParts   = 8
 )
 
 // crashReport is the encoding of a crash in a message between gateways.
@@ -87,7 +90,7 @@
 }
 
 // responseLost records that a target's response to a request broke off, and waits for a probe of the target.
-func (c *crashTracker) responseLost(t waxwingpick.Target, f suspect.Fingerprint) {
+func (c *crashTracker) responseLost(t waxwingpick.Target, f suspect.Flight) {
 	now := c.process.timers.Now()
 	if s, ok := c.losses.ResponseLost(now, t, f).Get(); ok {
 		c.observed(now, s)
@@ -137,33 +140,56 @@
 // observed records a crash that this process detected, and notifies the other gateways before the requests in flight
 // are retried.
 func (c *crashTracker) observed(now time.Time, s suspect.DetectedCrash) {
-	c.set.Crashed(now, s.Crash, s.InFlight)
+	c.set.Crashed(now, s.Crash, s.Fingerprints())
+	first := c.enqueue(s)
+	c.process.options.Metrics.TargetCrash(first, len(s.InFlight))
 	c.process.log.WithFields(logrus.Fields{
-		"target":       s.Crash.Target,
-		"crash":        s.Crash.ID,
-		"fingerprints": s.InFlight,
+		"target":   s.Crash.Target,
+		"crash":    s.Crash.ID,
+		"requests": flightFields(now, s.InFlight),
 	}).Warn("target crashed with requests in flight")
-	c.enqueue(s)
 	if c.broadcast != nil {
 		c.broadcast(now)
 	}
 }
 
-// enqueue adds a crash to the next messages, or adds further requests in flight to a crash that was added before.
-func (c *crashTracker) enqueue(s suspect.DetectedCrash) {
+// flightFields returns the log fields of requests in flight at a crash, of at most maxLoggedFlights.
+func flightFields(now time.Time, inFlight []suspect.Flight) []logrus.Fields {
+	all := make([]logrus.Fields, 0, min(len(inFlight), maxLoggedFlights))
+	for _, f := range inFlight[:min(len(inFlight), maxLoggedFlights)] {
+		fields := logrus.Fields{
+			"request":     f.ID,
+			"fingerprint": f.Fingerprint,
+			"sentMillis":  now.Sub(f.SentAt).Milliseconds(),
+		}
+		if len(f.Parts) > 0 {
+			fields["parts"] = f.Parts[:min(len(f.Parts), maxLoggedParts)]
+		}
+		if began, ok := f.BeganAt.Get(); ok {
+			fields["beganMillis"] = now.Sub(began).Milliseconds()
+		}
+		all = append(all, fields)
+	}
+	return all
+}
+
+// enqueue adds a crash to the next messages, or adds further requests in flight to a crash that was added before. It
+// returns false in the second case.
+func (c *crashTracker) enqueue(s suspect.DetectedCrash) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for i := range c.pending {
 		if t := &c.pending[i]; t.sighting.Crash.ID == s.Crash.ID {
 			t.sighting.InFlight = append(t.sighting.InFlight, s.InFlight...)
 			t.sendsLeft = crashReportSends
-			return
+			return false
 		}
 	}
 	c.pending = append(c.pending, pendingCrash{
 		sighting:  s,
 		sendsLeft: crashReportSends,
 	})
+	return true
 }
 
 // hasPending reports whether there are crashes to send to other gateways.
@@ -199,7 +225,7 @@
 		AgeMillis: now.Sub(s.Crash.At).Milliseconds(),
 	}
 	for _, f := range s.InFlight[:min(len(s.InFlight), maxRequestsPerCrash)] {
-		r.Requests = append(r.Requests, uint64(f))
+		r.Requests = append(r.Requests, uint64(f.Fingerprint))
 	}
 	return r
 }
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -34,6 +34,13 @@
 	return p.crashTracker, clock
 }
 
+// flight returns a request in flight with a fingerprint.
+func flight(f suspect.Fingerprint) suspect.Flight {
+	return suspect.Flight{
+		Fingerprint: f,
+	}
+}
+
 // TestLostResponsesOfAHealthyTargetCostFewConnections loses a response of a reachable target each millisecond. Without
 // the minimum interval each loss would open a connection.
 func TestLostResponsesOfAHealthyTargetCostFewConnections(t *testing.T) {
@@ -42,7 +49,7 @@
 	for i := range 1000 {
 		c.responseLost(waxwingpick.Target{
 			ID: "a",
-		}, suspect.Fingerprint(i))
+		}, flight(suspect.Fingerprint(i)))
 		clock.Advance(time.Millisecond)
 	}
 	require.EqualValues(t, time.Second/probeInterval, targets.probes.Load())
@@ -61,13 +68,13 @@
 	now := clock.Now()
 	one.responseLost(waxwingpick.Target{
 		ID: "a",
-	}, 1)
+	}, flight(1))
 	one.responseLost(waxwingpick.Target{
 		ID: "a",
-	}, 2)
+	}, flight(2))
 	one.responseLost(waxwingpick.Target{
 		ID: "b",
-	}, 1)
+	}, flight(1))
 	for range crashReportSends {
 		reports := one.reports(now)
 		require.Len(t, reports, 2)
--- a/io/prometheus/gateway.go
+++ b/io/prometheus/gateway.go
@@ -34,6 +34,8 @@
 	targets    *client.GaugeVec
 	statements *client.CounterVec
 	stated     *client.GaugeVec
+	crashes    client.Counter
+	inFlight   client.Counter
 }
 
 // NewGateway returns metrics with a new registry.
@@ -61,10 +63,12 @@
 		targets:    gauge("gateway_targets", "Targets of the platform's list by state.", "service", "state"),
 		statements: counter("gateway_statements_total", "Responses in which a target states something about itself, by kind.", "service", "kind"),
 		stated:     gauge("gateway_stated_targets", "Targets by the statements about themselves that apply.", "kind"),
+		crashes:    unlabeledCounter("gateway_target_crashes_total", "Crashes of targets that this gateway detected."),
+		inFlight:   unlabeledCounter("gateway_crashed_requests_total", "Requests of this gateway that were in flight when a target crashed."),
 	}
 	for _, c := range []client.Collector{
 		g.requests, g.responses, g.firstEvent, g.refused, g.retries, g.attempts, g.running, g.version, g.peers, g.sharing,
-		g.feedReads, g.feedAge, g.reportAge, g.targets, g.statements, g.stated,
+		g.feedReads, g.feedAge, g.reportAge, g.targets, g.statements, g.stated, g.crashes, g.inFlight,
 	} {
 		if err := g.registry.Register(c); err != nil {
 			return nil, fmt.Errorf("register metrics: %w", err)
@@ -180,3 +184,11 @@
 func (g *Gateway) Stated(kind string, n int) {
 	g.stated.WithLabelValues(kind).Set(float64(n))
 }
+
+// TargetCrash counts requests in flight at the crash of a target. first means that the crash was not counted before.
+func (g *Gateway) TargetCrash(first bool, inFlight int) {
+	if first {
+		g.crashes.Inc()
+	}
+	g.inFlight.Add(float64(inFlight))
+}
--- a/io/prometheus/metrics.go
+++ b/io/prometheus/metrics.go
@@ -321,6 +321,14 @@
 	})
 }
 
+func unlabeledCounter(name, help string) client.Counter {
+	return client.NewCounter(client.CounterOpts{
+		Namespace: namespace,
+		Name:      name,
+		Help:      help,
+	})
+}
+
 func histogram(name, help string, buckets []float64, labels ...string) *client.HistogramVec {
 	return client.NewHistogramVec(client.HistogramOpts{
 		Namespace: namespace,
