--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -59,6 +59,22 @@
 	RetryAfter string
 	// CrashOn is the request body that crashes the target when it runs the request. It is down for its restart time.
 	CrashOn string
+	// CrashOnPart is the ID of the prompt part that crashes the target when it runs a request with it, after CrashAfter events.
+	CrashOnPart string
+	CrashAfter  int
+}
+
+// crashesOn reports whether a request whose prompt has these parts crashes the target.
+func (f Faults) crashesOn(parts string) bool {
+	if f.CrashOnPart == "" {
+		return false
+	}
+	for part := range strings.SplitSeq(parts, ",") {
+		if id, _, _ := strings.Cut(part, ":"); id == f.CrashOnPart {
+			return true
+		}
+	}
+	return false
 }
 
 // Events is the number of events in a complete stream.
@@ -205,7 +221,8 @@
 		return c.SendStatus(http.StatusServiceUnavailable)
 	}
 	t.recordRun(c)
-	if faults.CrashOn != "" && string(c.Body()) == faults.CrashOn {
+	crashes := faults.crashesOn(c.Get("Waxwingpick-Prompt-Prefix"))
+	if faults.CrashOn != "" && string(c.Body()) == faults.CrashOn || crashes && faults.CrashAfter == 0 {
 		t.Crash()
 		return c.SendStatus(http.StatusServiceUnavailable)
 	}
@@ -217,7 +234,11 @@
 	if t.stage == "" {
 		return c.SendString("answer of " + t.id)
 	}
-	return t.stream(c, faults.BreakAfter)
+	if crashes {
+		return t.stream(c, faults.CrashAfter, t.Crash)
+	}
+	conn := c.RequestCtx().Conn()
+	return t.stream(c, faults.BreakAfter, func() { conn.Close() })
 }
 
 // prefill responds with a new KV cache handle. Only a target of the prefill stage does.
@@ -253,19 +274,19 @@
 	t.runs = append(t.runs, r)
 }
 
-// stream sends the events after the one that Last-Event-Id names, or all events.
-func (t *Target) stream(c fiber.Ctx, breakAfter int) error {
+// stream sends the events after the one that Last-Event-Id names, or all events. If breakAfter is not zero, it calls
+// breakOff in the middle of the event after that many.
+func (t *Target) stream(c fiber.Ctx, breakAfter int, breakOff func()) error {
 	first := 1
 	if last, err := strconv.Atoi(c.Get("Last-Event-Id")); err == nil {
 		first = last + 1
 	}
 	c.Set("Content-Type", "text/event-stream")
-	conn := c.RequestCtx().Conn()
 	return c.SendStream(http1.NewStreamBody(func(w io.Writer) {
 		for i := first; i <= Events; i++ {
 			if breakAfter > 0 && i-first == breakAfter {
 				fmt.Fprintf(w, "id: %d\ndata: half of", i)
-				conn.Close()
+				breakOff()
 				return
 			}
 			fmt.Fprintf(w, "id: %d\ndata: piece %d\n\n", i, i)
