--- /dev/null
+++ b/core/suspect/blame.go
@@ -0,0 +1,517 @@
+package suspect
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"waxwingpick"
+)
+
+const (
+	// requestStrikes is the number of strikes after which a whole request is convicted.
+	requestStrikes = 2
+	// minPartStrikes and maxPartStrikes bound the number of strikes after which a prompt part is convicted.
+	minPartStrikes = 3
+	maxPartStrikes = 5
+	// falseBlame is the probability with which a part that crashes nothing may collect the strikes that convict it, unless
+	// maxPartStrikes is reached before.
+	falseBlame = 1e-5
+	// priorResponses and priorCrashed are counted in addition to the observed responses, until there are enough of them.
+	priorResponses = 100
+	priorCrashed   = 1
+	// rateWindow is the time over which responses are counted, up to twice that.
+	rateWindow = 30 * time.Second
+	// suspicionTTL is the time after which a strike no longer counts against a candidate that is not convicted.
+	suspicionTTL = time.Minute
+	// trialTimeout is the time after which a trial without a known outcome is over.
+	trialTimeout = 30 * time.Second
+	// clearedTTL is the time for which a cleared candidate is remembered, so that older reports do not convict it again.
+	clearedTTL = 10 * time.Minute
+	// rivalStrikes is the number of latest strikes that a candidate shares with one of greater depth, its rival, and by which
+	// it needs one strike more.
+	rivalStrikes = 2
+	// maxExplained bounds the explained crashes that are remembered.
+	maxExplained = 1024
+	// maxCandidates bounds the candidates with strikes, convicted and cleared ones.
+	maxCandidates = 4096
+)
+
+// trialPauses are the times between the last crash of a convicted candidate and its next trial, by the number of trials
+// that failed. They allow three trials in a day.
+var trialPauses = [...]time.Duration{2 * time.Minute, 30 * time.Minute, 450 * time.Minute, 24 * time.Hour}
+
+// Blame attributes the crashes of targets to what the requests in flight have in common. A candidate is a cause that
+// crashes every target that begins to answer a request with it, so that one complete response clears it of all crashes
+// before. A candidate is convicted by a number of crashes without a complete response in between, which grows with the
+// share of responses that crashes end anyway. Of several candidates that the same crashes convict, the one of the
+// greatest depth is, as it stops the fewest requests. These crashes are explained then: the others are convicted only by
+// a further crash at which it was not in flight. A whole request does not explain crashes for a prompt part.
+//
+// The expected load is a few requests that share a part of their prompts, among many sound ones that share their other
+// parts. Processes exchange strikes, convictions and completions in any order and any number of times.
+type Blame struct {
+	owner     string
+	completed completions
+
+	mu     sync.Mutex
+	states map[Candidate]*state
+	// current and previous count the responses of two rate windows. windowAt is when the current one began.
+	current, previous responses
+	windowAt          time.Time
+	trials            uint64
+	// explained maps the crashes at which a convicted candidate was in flight to that candidate.
+	explained map[string]Candidate
+}
+
+// responses counts the responses that began, and those of them that a crash ended.
+type responses struct {
+	began   int
+	crashed int
+}
+
+// state is what is known of one candidate.
+type state struct {
+	strikes strikes
+	// completedAt is when a response with the candidate was last known to be complete.
+	completedAt time.Time
+	convicted   bool
+	// lastCrash is the latest crash of a convicted candidate, trial and trialAt its running trial.
+	lastCrash    time.Time
+	trial        uint64
+	trialAt      time.Time
+	failedTrials int
+}
+
+// Conviction is a convicted candidate as processes report it to each other.
+type Conviction struct {
+	Candidate    Candidate
+	LastCrash    time.Time
+	FailedTrials int
+}
+
+// Decision is whether a request may run.
+type Decision struct {
+	// Status is StatusSuspect for the trial of a convicted candidate.
+	Status Status
+	// Candidate is the one for which the request is refused or tried; Trial identifies the trial.
+	Candidate Candidate
+	Trial     uint64
+	// RetryAfter is the time until the next trial of a refused candidate. Crashes are its latest crashes.
+	RetryAfter time.Duration
+	Crashes    []string
+}
+
+// Change is a candidate that was convicted, with the crashes that convicted it.
+type Change struct {
+	Candidate Candidate
+	Crashes   []string
+}
+
+// NewBlame returns a Blame without knowledge. owner names this process, so that processes do not try a candidate at the
+// same time.
+func NewBlame(owner string) *Blame {
+	return &Blame{
+		owner:     owner,
+		states:    make(map[Candidate]*state),
+		explained: make(map[string]Candidate),
+	}
+}
+
+// Decide returns whether a request with these candidates may run. A request that runs as a trial passes the number of its
+// trial, zero otherwise.
+func (b *Blame) Decide(now time.Time, candidates []Candidate, trial uint64) Decision {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	d := Decision{}
+	var tried []*state
+	for _, c := range candidates {
+		s, ok := b.states[c]
+		if !ok || !s.convicted || trial != 0 && s.trial == trial {
+			continue
+		}
+		if wait := b.untilTrial(now, c, s); wait > 0 {
+			return Decision{
+				Status:     StatusRefused,
+				Candidate:  c,
+				RetryAfter: wait,
+				Crashes:    s.strikes.crashIDs(),
+			}
+		}
+		d.Status = StatusSuspect
+		d.Candidate = c
+		tried = append(tried, s)
+	}
+	if len(tried) > 0 {
+		b.trials++
+		d.Trial = b.trials
+	}
+	for _, s := range tried {
+		s.trial = d.Trial
+		s.trialAt = now
+	}
+	return d
+}
+
+// untilTrial returns the time until this process may try a convicted candidate.
+func (b *Blame) untilTrial(now time.Time, c Candidate, s *state) time.Duration {
+	pause := trialPauses[min(s.failedTrials, len(trialPauses)-1)]
+	due := s.lastCrash.Add(pause + b.trialDelay(c, pause))
+	if running := s.trialAt.Add(trialTimeout); !s.trialAt.IsZero() && running.After(due) {
+		due = running
+	}
+	return due.Sub(now)
+}
+
+// trialDelay returns this process's share of a quarter of the pause, so that the trials of several processes are apart.
+func (b *Blame) trialDelay(c Candidate, pause time.Duration) time.Duration {
+	share := rendezvous(Fingerprint(c.sum), waxwingpick.TargetID(b.owner))
+	return time.Duration(float64(pause/4) * (float64(share) / math.MaxUint64))
+}
+
+// TrialStarted records that another process tries a convicted candidate.
+func (b *Blame) TrialStarted(at time.Time, c Candidate) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if s, ok := b.states[c]; ok && s.convicted && at.After(s.trialAt) {
+		s.trialAt = at
+		s.trial = 0
+	}
+}
+
+// Began counts a response that began.
+func (b *Blame) Began(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.window(now).began++
+}
+
+// window returns the counters of the current rate window.
+func (b *Blame) window(now time.Time) *responses {
+	if now.Sub(b.windowAt) > rateWindow {
+		b.previous = b.current
+		if now.Sub(b.windowAt) > 2*rateWindow {
+			b.previous = responses{}
+		}
+		b.current = responses{}
+		b.windowAt = now
+	}
+	return &b.current
+}
+
+// Cleared is a candidate that a complete response cleared.
+type Cleared struct {
+	Candidate Candidate
+	// Convicted means that it was convicted before, not only suspected.
+	Convicted bool
+}
+
+// Completed records a complete response to a request and returns the candidates that it clears.
+func (b *Blame) Completed(now time.Time, candidates []Candidate) []Cleared {
+	for _, c := range candidates {
+		b.completed.add(now, c)
+	}
+	var cleared []Cleared
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, c := range candidates {
+		s, ok := b.states[c]
+		if !ok {
+			continue
+		}
+		if changed, convicted := s.clear(now); changed {
+			cleared = append(cleared, Cleared{
+				Candidate: c,
+				Convicted: convicted,
+			})
+		}
+	}
+	return cleared
+}
+
+// Clear records that a response with a candidate was complete at another process at a time. It reports whether the
+// candidate was convicted and is not any longer.
+func (b *Blame) Clear(now, at time.Time, c Candidate) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, convicted := b.state(now, c).clear(at)
+	return convicted
+}
+
+// clear discards the strikes of requests that were sent before a complete response. It reports whether that changes
+// anything, and whether the candidate was convicted and is not any longer.
+func (s *state) clear(at time.Time) (changed, convicted bool) {
+	if !at.After(s.completedAt) {
+		return false, false
+	}
+	s.completedAt = at
+	before := len(s.strikes)
+	s.strikes = s.strikes.since(at)
+	if !s.convicted || s.lastCrash.After(at) {
+		return before > len(s.strikes), false
+	}
+	s.convicted = false
+	s.failedTrials = 0
+	s.trialAt = time.Time{}
+	return true, true
+}
+
+// Crashed records a crash that this process detected. It returns the strikes to report to other processes, and the
+// candidates that these strikes convict.
+func (b *Blame) Crashed(now time.Time, d DetectedCrash) ([]CandidateStrike, []Change) {
+	reported := slices.DeleteFunc(strikesOf(d), func(s CandidateStrike) bool {
+		return !s.Strike.SentAt.After(b.completed.last(s.Candidate))
+	})
+	b.mu.Lock()
+	b.window(now).crashed += len(d.InFlight)
+	b.mu.Unlock()
+	return reported, b.Apply(now, reported)
+}
+
+// Apply records strikes of this or another process and returns the candidates that they convict.
+func (b *Blame) Apply(now time.Time, reported []CandidateStrike) []Change {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	struck := make(map[Candidate]*state)
+	for _, r := range reported {
+		if now.Sub(r.Strike.LostAt) > suspicionTTL {
+			continue
+		}
+		s := b.state(now, r.Candidate)
+		s.completedAt = latest(s.completedAt, b.completed.last(r.Candidate))
+		if !r.Strike.SentAt.After(s.completedAt) {
+			continue
+		}
+		s.strike(now, r.Strike)
+		if s.convicted {
+			b.explain(r.Candidate, r.Strike.CrashID)
+			continue
+		}
+		struck[r.Candidate] = s
+	}
+	var changes []Change
+	for {
+		c, ok := b.culprit(now, struck)
+		if !ok {
+			return changes
+		}
+		s := struck[c]
+		s.convicted = true
+		b.explain(c, s.strikes.crashIDs()...)
+		changes = append(changes, Change{
+			Candidate: c,
+			Crashes:   s.strikes.crashIDs(),
+		})
+	}
+}
+
+// culprit returns the candidate of the greatest depth that has enough strikes to be convicted.
+func (b *Blame) culprit(now time.Time, struck map[Candidate]*state) (Candidate, bool) {
+	var found []Candidate
+	for c, s := range struck {
+		if s.convicted || len(s.strikes) == 0 {
+			continue
+		}
+		if by, ok := b.explained[s.strikes[len(s.strikes)-1].CrashID]; ok && (by.kind == CandidatePart || c.kind == CandidateRequest) {
+			continue
+		}
+		required := b.required(now, c.kind)
+		if len(s.strikes) == required && b.hasRival(s, struck) {
+			required++
+		}
+		if len(s.strikes) >= min(required, maxPartStrikes) {
+			found = append(found, c)
+		}
+	}
+	if len(found) == 0 {
+		return Candidate{}, false
+	}
+	return slices.MinFunc(found, func(x, y Candidate) int {
+		return cmp.Or(cmp.Compare(struck[y].strikes.depth(), struck[x].strikes.depth()), cmp.Compare(x.sum, y.sum))
+	}), true
+}
+
+// hasRival reports whether a candidate of greater depth, which is not a whole request, was in flight at the latest
+// crashes of a candidate as well.
+func (b *Blame) hasRival(s *state, struck map[Candidate]*state) bool {
+	for c, other := range struck {
+		if c.kind == CandidatePart && len(other.strikes) > 0 && other.strikes.depth() > s.strikes.depth() && s.strikes.shares(other.strikes, rivalStrikes) {
+			return true
+		}
+	}
+	return false
+}
+
+// explain records that a convicted candidate was in flight at crashes. Whole requests that were convicted only by crashes
+// that a prompt part explains, before its strikes were known, are suspected again.
+func (b *Blame) explain(by Candidate, crashIDs ...string) {
+	if len(b.explained) >= maxExplained {
+		clear(b.explained)
+	}
+	for _, id := range crashIDs {
+		if b.explained[id].kind != CandidatePart {
+			b.explained[id] = by
+		}
+	}
+	if by.kind != CandidatePart {
+		return
+	}
+	for c, s := range b.states {
+		if c.kind == CandidateRequest && s.convicted && b.explainedByPart(s.strikes) {
+			s.convicted = false
+		}
+	}
+}
+
+// explainedByPart reports whether a prompt part explains all of the crashes.
+func (b *Blame) explainedByPart(all strikes) bool {
+	return len(all) > 0 && !slices.ContainsFunc(all, func(s Strike) bool {
+		return b.explained[s.CrashID].kind != CandidatePart
+	})
+}
+
+// strike adds a strike.
+func (s *state) strike(now time.Time, added Strike) {
+	if !s.convicted {
+		s.strikes = slices.DeleteFunc(s.strikes, func(one Strike) bool { return now.Sub(one.LostAt) > suspicionTTL })
+	}
+	s.strikes = s.strikes.with(added)
+	s.lastCrash = latest(s.lastCrash, added.LostAt)
+	if s.convicted && !s.trialAt.IsZero() && !added.SentAt.Before(s.trialAt) {
+		s.failedTrials = min(s.failedTrials+1, len(trialPauses)-1)
+		s.trialAt = time.Time{}
+		s.trial = 0
+	}
+}
+
+// required returns the number of strikes that convict a candidate. If a share of all responses ends in crashes, a part
+// that crashes nothing collects n strikes in a row with the n-th power of that share.
+func (b *Blame) required(now time.Time, kind CandidateKind) int {
+	if kind == CandidateRequest {
+		return requestStrikes
+	}
+	w := *b.window(now)
+	began := priorResponses + w.began + b.previous.began
+	crashed := min(priorCrashed+w.crashed+b.previous.crashed, began-1)
+	n := math.Log(falseBlame) / math.Log(float64(crashed)/float64(began))
+	return max(minPartStrikes, int(min(maxPartStrikes, math.Ceil(n))))
+}
+
+// state returns the state of a candidate, and creates it if there is none.
+func (b *Blame) state(now time.Time, c Candidate) *state {
+	s, ok := b.states[c]
+	if !ok {
+		if len(b.states) >= maxCandidates {
+			b.evict(now)
+		}
+		s = &state{}
+		b.states[c] = s
+	}
+	return s
+}
+
+// evict removes the candidates that have expired, or else a quarter of all, convicted ones last.
+func (b *Blame) evict(now time.Time) {
+	order := make([]Candidate, 0, len(b.states))
+	for c, s := range b.states {
+		if s.expired(now) {
+			delete(b.states, c)
+			continue
+		}
+		order = append(order, c)
+	}
+	if len(b.states) < maxCandidates {
+		return
+	}
+	slices.SortFunc(order, func(x, y Candidate) int {
+		a, b := b.states[x], b.states[y]
+		return cmp.Or(cmp.Compare(a.rank(), b.rank()), a.newest().Compare(b.newest()), cmp.Compare(x.sum, y.sum))
+	})
+	for _, c := range order[:len(order)/4] {
+		delete(b.states, c)
+	}
+}
+
+// rank orders candidates by how much is lost if they are removed.
+func (s *state) rank() int {
+	switch {
+	case s.convicted:
+		return 2
+	case len(s.strikes) > 0:
+		return 1
+	}
+	return 0
+}
+
+// newest returns the time of the latest knowledge.
+func (s *state) newest() time.Time {
+	at := latest(s.completedAt, s.lastCrash)
+	if n := len(s.strikes); n > 0 {
+		at = latest(at, s.strikes[n-1].LostAt)
+	}
+	return at
+}
+
+func (s *state) expired(now time.Time) bool {
+	return !s.convicted && now.Sub(s.newest()) > clearedTTL
+}
+
+// Merge records a conviction that another process reports. It returns true if the candidate was cleared since, with the
+// time, so that the other process has to be notified, and a change if the candidate was not convicted before.
+func (b *Blame) Merge(now time.Time, r Conviction) (clearedAt time.Time, refuted bool, changes []Change) {
+	completed := b.completed.last(r.Candidate)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s := b.state(now, r.Candidate)
+	s.completedAt = latest(s.completedAt, completed)
+	if !r.LastCrash.After(s.completedAt) {
+		return s.completedAt, true, nil
+	}
+	s.lastCrash = latest(s.lastCrash, r.LastCrash)
+	s.failedTrials = max(s.failedTrials, min(max(0, r.FailedTrials), len(trialPauses)-1))
+	if !s.convicted {
+		s.convicted = true
+		changes = append(changes, Change{
+			Candidate: r.Candidate,
+			Crashes:   s.strikes.crashIDs(),
+		})
+	}
+	return time.Time{}, false, changes
+}
+
+// Convictions returns the convicted candidates, latest crash first, at most n.
+func (b *Blame) Convictions(n int) []Conviction {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var all []Conviction
+	for c, s := range b.states {
+		if s.convicted {
+			all = append(all, Conviction{
+				Candidate:    c,
+				LastCrash:    s.lastCrash,
+				FailedTrials: s.failedTrials,
+			})
+		}
+	}
+	slices.SortFunc(all, func(x, y Conviction) int {
+		return cmp.Or(y.LastCrash.Compare(x.LastCrash), cmp.Compare(x.Candidate.sum, y.Candidate.sum))
+	})
+	return all[:min(n, len(all))]
+}
+
+// Counts returns the numbers of suspected and of convicted candidates.
+func (b *Blame) Counts(now time.Time) (suspected, convicted int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.states {
+		switch {
+		case s.convicted:
+			convicted++
+		case len(s.strikes) > 0 && now.Sub(s.newest()) <= suspicionTTL:
+			suspected++
+		}
+	}
+	return suspected, convicted
+}
--- /dev/null
+++ b/core/suspect/evidence.go
@@ -0,0 +1,128 @@
+package suspect
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// beginWindow is the maximum time between the begin of a response and a crash that it may have caused. A request that
+	// crashes its target does so when the target begins to answer it.
+	beginWindow = time.Second
+	// maxStrikes bounds the strikes that are kept of one candidate.
+	maxStrikes = 8
+	// requestDepth is the depth of a whole request, which is below all parts of its prompt.
+	requestDepth = math.MaxUint8
+)
+
+// Strike is one crash at which a request with a candidate was in flight, and its response had just begun or had not begun.
+type Strike struct {
+	// CrashID identifies the crash equally in every process.
+	CrashID string
+	// Depth is the index of a part in the prompt. Requests with a part at a greater depth are fewer than those with the parts
+	// before it.
+	Depth uint8
+	// SentAt is when the request was sent to the target, and LostAt when its response broke off.
+	SentAt time.Time
+	LostAt time.Time
+}
+
+// CandidateStrike is a strike with the candidate that it counts against.
+type CandidateStrike struct {
+	Candidate Candidate
+	Strike    Strike
+}
+
+// strikesOf returns the strikes of a crash, one for each candidate. Of several requests with a candidate the one that
+// was sent last counts.
+func strikesOf(d DetectedCrash) []CandidateStrike {
+	latest := make(map[Candidate]Strike)
+	for _, f := range d.InFlight {
+		if began, ok := f.BeganAt.Get(); ok && f.LostAt.Sub(began) > beginWindow {
+			continue
+		}
+		for i, c := range f.Candidates {
+			depth := uint8(requestDepth)
+			if c.kind == CandidatePart {
+				depth = uint8(min(i, maxCandidateParts))
+			}
+			if known, ok := latest[c]; !ok || f.SentAt.After(known.SentAt) {
+				latest[c] = Strike{
+					CrashID: d.Crash.ID,
+					Depth:   depth,
+					SentAt:  f.SentAt,
+					LostAt:  f.LostAt,
+				}
+			}
+		}
+	}
+	all := make([]CandidateStrike, 0, len(latest))
+	for c, s := range latest {
+		all = append(all, CandidateStrike{
+			Candidate: c,
+			Strike:    s,
+		})
+	}
+	slices.SortFunc(all, func(a, b CandidateStrike) int {
+		return cmp.Or(cmp.Compare(a.Candidate.kind, b.Candidate.kind), cmp.Compare(a.Candidate.sum, b.Candidate.sum))
+	})
+	return all
+}
+
+// strikes holds the independent strikes of a candidate, oldest first. Of crashes that happen together, such as those of a
+// whole availability zone, only the first one counts: the other requests were sent before it.
+type strikes []Strike
+
+// with returns the strikes with a further one, or the same strikes if it is known or not independent.
+func (s strikes) with(added Strike) strikes {
+	for _, known := range s {
+		if known.CrashID == added.CrashID {
+			return s
+		}
+	}
+	all := append(slices.Clone(s), added)
+	slices.SortFunc(all, func(a, b Strike) int {
+		return cmp.Or(a.LostAt.Compare(b.LostAt), cmp.Compare(a.CrashID, b.CrashID))
+	})
+	independent := all[:1]
+	for _, next := range all[1:] {
+		if next.SentAt.After(independent[len(independent)-1].LostAt) {
+			independent = append(independent, next)
+		}
+	}
+	return independent[max(0, len(independent)-maxStrikes):]
+}
+
+// since returns the strikes of requests that were sent after a time.
+func (s strikes) since(at time.Time) strikes {
+	return slices.DeleteFunc(slices.Clone(s), func(one Strike) bool { return !one.SentAt.After(at) })
+}
+
+// shares reports whether the latest n strikes are of crashes at which another candidate has a strike as well.
+func (s strikes) shares(other strikes, n int) bool {
+	if len(s) < n {
+		return false
+	}
+	for _, one := range s[len(s)-n:] {
+		if !slices.ContainsFunc(other, func(o Strike) bool { return o.CrashID == one.CrashID }) {
+			return false
+		}
+	}
+	return true
+}
+
+// depth returns the depth of the latest strike.
+func (s strikes) depth() uint8 {
+	return s[len(s)-1].Depth
+}
+
+// crashIDs returns the crashes of the strikes.
+func (s strikes) crashIDs() []string {
+	ids := make([]string, 0, len(s))
+	for _, one := range s {
+		ids = append(ids, one.CrashID)
+	}
+	return ids
+}
--- a/core/suspect/losses.go
+++ b/core/suspect/losses.go
@@ -29,26 +29,25 @@
 
 // incarnation is one run of a target's process, from its start to its crash.
 type incarnation struct {
-	lost []loss
+	lost []Flight
 	// downAt is when the target was last found to be down, updatedAt when anything was last recorded of it.
 	downAt    time.Time
 	updatedAt time.Time
 }
 
-type loss struct {
-	request Flight
-	at      time.Time
-}
-
 // Flight is a request in flight at a target.
 type Flight struct {
 	ID          waxwingpick.RequestID
 	Fingerprint Fingerprint
 	// Parts are the IDs of the parts of its prompt, in order.
-	Parts  []string
-	SentAt time.Time
+	Parts []string
+	// Candidates are what its crash may be attributed to.
+	Candidates []Candidate
+	SentAt     time.Time
 	// BeganAt is when the response began; none if it had not begun.
 	BeganAt waxwingpick.Option[time.Time]
+	// LostAt is when the response broke off, as Losses records it.
+	LostAt time.Time
 }
 
 // DetectedCrash is a detected crash with the requests that were in flight at it.
@@ -57,15 +56,6 @@
 	InFlight []Flight
 }
 
-// Fingerprints returns the fingerprints of the requests in flight.
-func (d DetectedCrash) Fingerprints() []Fingerprint {
-	all := make([]Fingerprint, 0, len(d.InFlight))
-	for _, f := range d.InFlight {
-		all = append(all, f.Fingerprint)
-	}
-	return all
-}
-
 // NewLosses returns a Losses without records.
 func NewLosses() *Losses {
 	return &Losses{
@@ -78,15 +68,13 @@
 func (l *Losses) ResponseLost(now time.Time, t waxwingpick.Target, f Flight) waxwingpick.Option[DetectedCrash] {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	f.LostAt = now
 	current := l.incarnation(now, t)
 	if !current.downAt.IsZero() && now.Sub(current.downAt) <= lossWindow {
 		return sighting(now, t, []Flight{f})
 	}
 	if len(current.lost) < maxLosses {
-		current.lost = append(current.lost, loss{
-			request: f,
-			at:      now,
-		})
+		current.lost = append(current.lost, f)
 	}
 	return waxwingpick.None[DetectedCrash]()
 }
@@ -100,8 +88,8 @@
 	current.downAt = now
 	var inFlight []Flight
 	for _, lost := range current.lost {
-		if now.Sub(lost.at) <= lossWindow {
-			inFlight = append(inFlight, lost.request)
+		if now.Sub(lost.LostAt) <= lossWindow {
+			inFlight = append(inFlight, lost)
 		}
 	}
 	current.lost = nil
--- a/core/suspect/losses_test.go
+++ b/core/suspect/losses_test.go
@@ -19,6 +19,15 @@
 	}
 }
 
+// fingerprints returns the fingerprints of the requests in flight at a crash.
+func fingerprints(d suspect.DetectedCrash) []suspect.Fingerprint {
+	var all []suspect.Fingerprint
+	for _, f := range d.InFlight {
+		all = append(all, f.Fingerprint)
+	}
+	return all
+}
+
 func TestLosses(t *testing.T) {
 	one := waxwingpick.Target{
 		ID:              "one",
@@ -84,7 +93,7 @@
 			}
 			got, _ := last.Get()
 			require.Equal(t, test.crash, got.Crash.ID)
-			require.Equal(t, test.want, append([]suspect.Fingerprint(nil), got.Fingerprints()...))
+			require.Equal(t, test.want, fingerprints(got))
 		})
 	}
 }
@@ -100,7 +109,7 @@
 		require.NoError(t, err)
 		record := func(s waxwingpick.Option[suspect.DetectedCrash]) {
 			if one, ok := s.Get(); ok {
-				set.Crashed(now, one.Crash, one.Fingerprints())
+				set.Crashed(now, one.Crash, fingerprints(one))
 			}
 		}
 		crashed := make(map[suspect.Fingerprint]int)
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -71,9 +71,8 @@
 	if err := x.ctx.Err(); err != nil {
 		return selection{}, waxwingpick.NotRun(waxwingpick.ReasonDeadline, 0, err.Error())
 	}
-	if x.process.crashTracker.quarantines(now, x.fingerprint()) {
-		x.recordQuarantined(now)
-		return selection{}, suspect.Refuse(suspicionTTL)
+	if refusal := x.crashSuspect(now); refusal != nil {
+		return selection{}, refusal
 	}
 	if cache, ok := x.cache.Get(); ok {
 		return x.chooseDecodeAgain(now, cache)
@@ -119,6 +118,19 @@
 	}, mayRequest)
 }
 
+// crashSuspect returns the refusal of a request that has something in common with those that crashed targets.
+func (x *exchange) crashSuspect(now time.Time) *waxwingpick.Refusal {
+	d := x.process.crashTracker.decide(now, x.candidates(), x.trial)
+	if d.Status == suspect.StatusRefused {
+		x.recordCrashSuspect(now, d)
+		return suspect.Refuse(d.RetryAfter)
+	}
+	if d.Trial != 0 {
+		x.trial = d.Trial
+	}
+	return nil
+}
+
 // placeDecode selects the engine that generates after the prefill stage of a selection.
 func (x *exchange) placeDecode(c selection) placed {
 	return x.placeWithTokens(func(now time.Time, mayRequest bool) placed {
@@ -156,6 +168,12 @@
 			x.tried = append(x.tried, engine.ID)
 			return chosen, s
 		}
+		// What crashed targets meanwhile is known only now.
+		if refusal := x.crashSuspect(x.process.timers.Now()); refusal != nil {
+			return chosen, sendResult{
+				refusal: refusal,
+			}
+		}
 		p := x.placeDecode(chosen)
 		chosen = p.selection
 		if p.verdict != waxwingpick.VerdictPlaced {
@@ -181,7 +199,9 @@
 	s := x.classify(reply, err)
 	s.sentAt = sentAt
 	if reply.Status != 0 && !reply.NotRun {
-		s.beganAt = waxwingpick.Some(x.process.timers.Now())
+		now := x.process.timers.Now()
+		s.beganAt = waxwingpick.Some(now)
+		x.process.crashTracker.blame.Began(now)
 	}
 	if s.refusal != nil {
 		if s.unsent() {
@@ -309,16 +329,22 @@
 	case s.unsent():
 		x.process.crashTracker.unreachable(target)
 	default:
-		x.process.crashTracker.responseLost(target, x.flight(s))
+		f := x.flight(s)
+		if chosen.runStage == nil && chosen.prefillStage != nil {
+			// An engine that prefills a prompt does not begin to answer it.
+			f.Candidates = f.Candidates[:1]
+		}
+		x.process.crashTracker.responseLost(target, f)
 	}
 }
 
-// flight describes the request in flight at the target of an attempt.
+// flight describes the request in flight at the target of an attempt. The first candidate is the request itself.
 func (x *exchange) flight(s sendResult) suspect.Flight {
 	return suspect.Flight{
 		ID:          x.in.ID,
 		Fingerprint: x.fingerprint(),
 		Parts:       x.in.Prompt.PartIDs(),
+		Candidates:  x.candidates(),
 		SentAt:      s.sentAt,
 		BeganAt:     s.beganAt,
 	}
@@ -327,6 +353,7 @@
 // respond returns a target's response to the caller.
 func (x *exchange) respond(chosen selection, s sendResult) waxwingpick.Outbound {
 	x.service.countResponse()
+	x.succeeded = s.reply.Status >= http.StatusOK && s.reply.Status < http.StatusMultipleChoices
 	if s.reply.Events == nil {
 		x.closeAttempt(chosen, s)
 		return x.bufferedResponse(s)
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"sync"
 	"time"
 
@@ -13,9 +12,6 @@
 )
 
 const (
-	// suspicionTTL is how long a crash counts against the requests that were in flight. Callers repeat a request within
-	// seconds. A request that was quarantined by mistake is served again after this time.
-	suspicionTTL = time.Minute
 	// probeTimeout bounds the probe of a target that lost a response. It allows several round trips within a region.
 	// The request whose response was lost waits for the probe, so that other gateways are notified before they can
 	// receive the request again.
@@ -25,38 +21,25 @@
 	probeInterval = 250 * time.Millisecond
 	// maxProbes bounds the targets whose last probe is kept.
 	maxProbes = 4096
-	// crashReportSends is the number of messages in which each crash is repeated, since messages may be lost.
-	crashReportSends = 10
-	// maxCrashesPerMessage bounds the crashes of one message, and maxRequestsPerCrash the requests of one crash, which
-	// is more than any target runs at once.
-	maxCrashesPerMessage = 8
-	maxRequestsPerCrash  = 128
 	// maxLoggedFlights bounds the requests of one log line about a crash, and maxLoggedParts the prompt parts of each.
 	maxLoggedFlights = 32
 	maxLoggedParts   = 8
+	// suspectsInterval is the time between two updates of the metric of suspects.
+	suspectsInterval = time.Second
 )
 
-// crashReport is the encoding of a crash in a message between gateways.
-type crashReport struct {
-	_         struct{} `cbor:",toarray"`
-	ID        string
-	Target    waxwingpick.TargetID
-	AgeMillis int64
-	Requests  []uint64
-}
-
-// crashTracker tracks the requests that were in flight when targets crashed.
+// crashTracker detects crashes of targets and keeps what they are attributed to.
 type crashTracker struct {
 	process *Process
-	set     *suspect.Set
+	blame   *suspect.Blame
 	losses  *suspect.Losses
-	// broadcast sends the pending crashes to the other gateways at once; nil if there are no other gateways.
+	outbox  blameOutbox
+	// broadcast sends the pending reports to the other gateways at once; nil if there are no other gateways.
 	broadcast func(now time.Time)
 
 	mu sync.Mutex
 	// probes holds the running probe of each target, or its most recent one.
-	probes  map[waxwingpick.TargetID]*probe
-	pending []pendingCrash
+	probes map[waxwingpick.TargetID]*probe
 }
 
 // probe is one check whether a target accepts connections.
@@ -65,28 +48,41 @@
 	done chan struct{}
 }
 
-// pendingCrash is a crash that still has to be sent to the other gateways.
-type pendingCrash struct {
-	sighting  suspect.DetectedCrash
-	sendsLeft int
-}
-
-func newCrashTracker(p *Process) (*crashTracker, error) {
-	set, err := suspect.NewSet(suspect.WithExpiry(suspicionTTL))
-	if err != nil {
-		return nil, fmt.Errorf("create suspect set: %w", err)
-	}
+func newCrashTracker(p *Process) *crashTracker {
 	return &crashTracker{
 		process: p,
-		set:     set,
+		blame:   suspect.NewBlame(string(p.options.Instance)),
 		losses:  suspect.NewLosses(),
 		probes:  make(map[waxwingpick.TargetID]*probe),
-	}, nil
+	}
+}
+
+// decide returns whether a request may run, and notifies the other gateways of the trial of a convicted candidate.
+func (c *crashTracker) decide(now time.Time, candidates []suspect.Candidate, trial uint64) suspect.Decision {
+	d := c.blame.Decide(now, candidates, trial)
+	if d.Status == suspect.StatusSuspect {
+		c.process.log.WithField("candidate", d.Candidate.String()).Info("request runs as the trial of what crashed targets")
+		c.publish(now, func(o *blameOutbox) { o.addTrial(now, d.Candidate) })
+	}
+	return d
+}
+
+// completed records a complete response.
+func (c *crashTracker) completed(now time.Time, candidates []suspect.Candidate) {
+	for _, cleared := range c.blame.Completed(now, candidates) {
+		if cleared.Convicted {
+			c.logCleared(cleared.Candidate, "response complete")
+		}
+		c.publish(now, func(o *blameOutbox) { o.addCleared(now, cleared.Candidate) })
+	}
 }
 
-// quarantines reports whether a request crashed so many targets that it must not run again.
-func (c *crashTracker) quarantines(now time.Time, f suspect.Fingerprint) bool {
-	return c.set.Status(now, f) == suspect.StatusRefused
+// publish adds to the pending reports and sends them.
+func (c *crashTracker) publish(now time.Time, add func(o *blameOutbox)) {
+	add(&c.outbox)
+	if c.broadcast != nil {
+		c.broadcast(now)
+	}
 }
 
 // responseLost records that a target's response to a request broke off, and waits for a probe of the target.
@@ -139,18 +135,18 @@
 
 // observed records a crash that this process detected, and notifies the other gateways before the requests in flight
 // are retried.
-func (c *crashTracker) observed(now time.Time, s suspect.DetectedCrash) {
-	c.set.Crashed(now, s.Crash, s.Fingerprints())
-	first := c.enqueue(s)
-	c.process.options.Metrics.TargetCrash(first, len(s.InFlight))
+func (c *crashTracker) observed(now time.Time, d suspect.DetectedCrash) {
+	strikes, changes := c.blame.Crashed(now, d)
 	c.process.log.WithFields(logrus.Fields{
-		"target":   s.Crash.Target,
-		"crash":    s.Crash.ID,
-		"requests": flightFields(now, s.InFlight),
+		"target":   d.Crash.Target,
+		"crash":    d.Crash.ID,
+		"requests": flightFields(now, d.InFlight),
+		"suspects": len(strikes),
 	}).Warn("target crashed with requests in flight")
-	if c.broadcast != nil {
-		c.broadcast(now)
-	}
+	c.logConvicted(changes, "crash")
+	first := true
+	c.publish(now, func(o *blameOutbox) { first = o.addStrikes(strikes) })
+	c.process.options.Metrics.TargetCrash(first, len(d.InFlight))
 }
 
 // flightFields returns the log fields of requests in flight at a crash, of at most maxLoggedFlights.
@@ -173,75 +169,28 @@
 	return all
 }
 
-// enqueue adds a crash to the next messages, or adds further requests in flight to a crash that was added before. It
-// returns false in the second case.
-func (c *crashTracker) enqueue(s suspect.DetectedCrash) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for i := range c.pending {
-		if t := &c.pending[i]; t.sighting.Crash.ID == s.Crash.ID {
-			t.sighting.InFlight = append(t.sighting.InFlight, s.InFlight...)
-			t.sendsLeft = crashReportSends
-			return false
-		}
+// logConvicted logs candidates that were convicted by a crash, a report or the conviction of another gateway.
+func (c *crashTracker) logConvicted(changes []suspect.Change, by string) {
+	for _, change := range changes {
+		c.process.options.Metrics.CrashVerdict(true)
+		c.process.log.WithFields(logrus.Fields{
+			"candidate": change.Candidate.String(),
+			"crashes":   change.Crashes,
+			"by":        by,
+		}).Warn("requests are refused because of what crashed targets")
 	}
-	c.pending = append(c.pending, pendingCrash{
-		sighting:  s,
-		sendsLeft: crashReportSends,
-	})
-	return true
-}
-
-// hasPending reports whether there are crashes to send to other gateways.
-func (c *crashTracker) hasPending() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.pending) > 0
 }
 
-// reports returns the crashes for the next message and counts them as sent.
-func (c *crashTracker) reports(now time.Time) []crashReport {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var all []crashReport
-	remaining := c.pending[:0]
-	for _, t := range c.pending {
-		if len(all) < maxCrashesPerMessage {
-			all = append(all, reportOf(now, t.sighting))
-			t.sendsLeft--
-		}
-		if t.sendsLeft > 0 {
-			remaining = append(remaining, t)
-		}
-	}
-	c.pending = remaining
-	return all
-}
-
-func reportOf(now time.Time, s suspect.DetectedCrash) crashReport {
-	r := crashReport{
-		ID:        s.Crash.ID,
-		Target:    s.Crash.Target,
-		AgeMillis: now.Sub(s.Crash.At).Milliseconds(),
-	}
-	for _, f := range s.InFlight[:min(len(s.InFlight), maxRequestsPerCrash)] {
-		r.Requests = append(r.Requests, uint64(f.Fingerprint))
-	}
-	return r
+// logCleared logs a convicted candidate that was cleared.
+func (c *crashTracker) logCleared(candidate suspect.Candidate, by string) {
+	c.process.options.Metrics.CrashVerdict(false)
+	c.process.log.WithFields(logrus.Fields{
+		"candidate": candidate.String(),
+		"by":        by,
+	}).Info("requests are no longer refused because of what crashed targets")
 }
 
-// apply records the crashes that another gateway detected.
-func (c *crashTracker) apply(now time.Time, reports []crashReport) {
-	for _, r := range reports[:min(len(reports), maxCrashesPerMessage)] {
-		var inFlight []suspect.Fingerprint
-		for _, f := range r.Requests[:min(len(r.Requests), maxRequestsPerCrash)] {
-			inFlight = append(inFlight, suspect.Fingerprint(f))
-		}
-		age := time.Duration(max(0, min(r.AgeMillis, suspicionTTL.Milliseconds()))) * time.Millisecond
-		c.set.Crashed(now, suspect.Crash{
-			ID:     r.ID,
-			At:     now.Add(-age),
-			Target: r.Target,
-		}, inFlight)
-	}
+// count updates the metric of suspects.
+func (c *crashTracker) count(now time.Time) {
+	c.process.options.Metrics.CrashSuspects(c.blame.Counts(now))
 }
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -2,16 +2,20 @@
 
 import (
 	"context"
+	"fmt"
 	"math"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
 	"waxwingpick"
 	"waxwingpick/core/suspect"
 	"waxwingpick/core/timer"
+	"waxwingpick/io/udp"
 )
 
 // probeCounter counts the probes of targets, each of which returns err.
@@ -34,10 +38,11 @@
 	return p.crashTracker, clock
 }
 
-// flight returns a request in flight with a fingerprint.
-func flight(f suspect.Fingerprint) suspect.Flight {
+// flight returns a request in flight that has just been sent.
+func flight(now time.Time, candidates ...suspect.Candidate) suspect.Flight {
 	return suspect.Flight{
-		Fingerprint: f,
+		Candidates: candidates,
+		SentAt:     now,
 	}
 }
 
@@ -49,66 +54,142 @@
 	for i := range 1000 {
 		c.responseLost(waxwingpick.Target{
 			ID: "a",
-		}, flight(suspect.Fingerprint(i)))
+		}, flight(clock.Now(), suspect.RequestCandidate(suspect.Fingerprint(i))))
 		clock.Advance(time.Millisecond)
 	}
 	require.EqualValues(t, time.Second/probeInterval, targets.probes.Load())
-	require.Empty(t, c.reports(clock.Now()))
-	require.Empty(t, c.set.Records(clock.Now()))
+	require.True(t, c.outbox.empty())
+	suspected, convicted := c.blame.Counts(clock.Now())
+	require.Zero(t, suspected+convicted)
 }
 
-// TestCrashesAreTold has one gateway detect two crashes and report them to another one. Both have to quarantine the
-// request that was in flight at both crashes.
+// encode returns a message as another gateway receives it.
+func encode(t *testing.T, m blameMessage) []byte {
+	encoded, err := cbor.Marshal(m)
+	require.NoError(t, err)
+	return encoded
+}
+
+// TestCrashesAreTold has one gateway detect two crashes and report them to another one. Both have to refuse the request
+// that was in flight at both crashes, and its complete response at one of them clears it at both.
 func TestCrashesAreTold(t *testing.T) {
-	targets := &probeCounter{
+	one, clock := crashesOf(t, &probeCounter{
 		err: waxwingpick.ErrEngineUnreachable,
-	}
-	one, clock := crashesOf(t, targets)
+	})
 	two, _ := crashesOf(t, &probeCounter{})
-	now := clock.Now()
+	fatal, bystander := suspect.RequestCandidate(1), suspect.RequestCandidate(2)
 	one.responseLost(waxwingpick.Target{
 		ID: "a",
-	}, flight(1))
+	}, flight(clock.Now(), fatal))
 	one.responseLost(waxwingpick.Target{
 		ID: "a",
-	}, flight(2))
+	}, flight(clock.Now(), bystander))
+	clock.Advance(time.Millisecond)
 	one.responseLost(waxwingpick.Target{
 		ID: "b",
-	}, flight(1))
-	for range crashReportSends {
-		reports := one.reports(now)
-		require.Len(t, reports, 2)
-		two.apply(now, reports)
+	}, flight(clock.Now(), fatal))
+	tell := func(from, to *crashTracker) {
+		for range blameSends {
+			require.False(t, from.outbox.empty())
+			m := from.outbox.take(clock.Now(), "one")
+			require.NoError(t, receiveAs(encode(t, m), func(m blameMessage) { to.apply(clock.Now(), m) }))
+		}
+		require.True(t, from.outbox.empty())
 	}
-	require.Empty(t, one.reports(now))
+	tell(one, two)
 	for _, c := range []*crashTracker{one, two} {
-		require.True(t, c.quarantines(now, 1))
-		require.False(t, c.quarantines(now, 2))
-		require.Equal(t, suspect.StatusSuspect, c.set.Status(now, 2))
-		c.set.ClearSuspect(now, 2)
-		require.Equal(t, suspect.StatusClean, c.set.Status(now, 2))
-		require.False(t, c.quarantines(now.Add(suspicionTTL), 1))
+		d := c.decide(clock.Now(), []suspect.Candidate{fatal}, 0)
+		require.Equal(t, suspect.StatusRefused, d.Status)
+		require.Positive(t, d.RetryAfter)
+		require.Equal(t, suspect.StatusClean, c.decide(clock.Now(), []suspect.Candidate{bystander}, 0).Status)
+		suspected, convicted := c.blame.Counts(clock.Now())
+		require.Equal(t, []int{1, 1}, []int{suspected, convicted})
+	}
+	clock.Advance(time.Millisecond)
+	two.completed(clock.Now(), []suspect.Candidate{fatal, bystander})
+	tell(two, one)
+	for _, c := range []*crashTracker{one, two} {
+		require.Equal(t, suspect.StatusClean, c.decide(clock.Now(), []suspect.Candidate{fatal}, 0).Status)
+	}
+}
+
+// TestConvictionsReachGatewaysThatStartLater has a gateway without knowledge receive the conviction of another one, and a
+// gateway that has a complete response since then notify the other one.
+func TestConvictionsReachGatewaysThatStartLater(t *testing.T) {
+	later, clock := crashesOf(t, &probeCounter{})
+	fatal := suspect.PartCandidate("dead")
+	m := blameMessage{
+		From: "one",
+		Convicted: []convictionReport{{
+			Kind:               uint8(fatal.Kind()),
+			Sum:                fatal.Sum(),
+			LastCrashAgeMillis: 1000,
+		}},
 	}
+	later.apply(clock.Now(), m)
+	require.Equal(t, suspect.StatusRefused, later.decide(clock.Now(), []suspect.Candidate{fatal}, 0).Status)
+	later.completed(clock.Now(), []suspect.Candidate{fatal})
+	later.outbox = blameOutbox{}
+	later.apply(clock.Now(), m)
+	require.Equal(t, suspect.StatusClean, later.decide(clock.Now(), []suspect.Candidate{fatal}, 0).Status)
+	require.Len(t, later.outbox.take(clock.Now(), "later").Cleared, 1)
 }
 
-// TestToldCrashesAreBounded applies a message larger than any that a gateway sends.
+// TestToldCrashesAreBounded applies messages larger than any that a gateway sends, with ages out of range and unknown
+// kinds of candidates.
 func TestToldCrashesAreBounded(t *testing.T) {
 	c, clock := crashesOf(t, &probeCounter{})
-	report := crashReport{
-		ID:        "a/1",
-		AgeMillis: math.MinInt64,
-		Requests:  make([]uint64, 100_000),
+	m := blameMessage{
+		From: "hostile",
+	}
+	for i := range uint64(100_000) {
+		kind := uint8(i % 4)
+		m.Strikes = append(m.Strikes, strikeReport{
+			Crash:         "a/1",
+			Kind:          kind,
+			Sum:           i,
+			SentAgeMillis: math.MinInt64,
+		})
+		notice := candidateNotice{
+			Kind:      kind,
+			Sum:       i,
+			AgeMillis: math.MaxInt64,
+		}
+		m.Cleared = append(m.Cleared, notice)
+		m.Trials = append(m.Trials, notice)
+		m.Convicted = append(m.Convicted, convictionReport{
+			Kind:               kind,
+			Sum:                i,
+			LastCrashAgeMillis: math.MaxInt64,
+			FailedTrials:       math.MaxInt,
+		})
 	}
-	for i := range report.Requests {
-		report.Requests[i] = uint64(i)
+	for range 100 {
+		c.apply(clock.Now(), m)
 	}
-	reports := make([]crashReport, 1000)
-	for i := range reports {
-		reports[i] = report
+	suspected, convicted := c.blame.Counts(clock.Now())
+	require.LessOrEqual(t, suspected, maxStrikesPerMessage)
+	require.LessOrEqual(t, convicted, maxConvictionsPerMessage)
+	encoded, err := cbor.Marshal(m)
+	require.NoError(t, err)
+	require.Error(t, receiveAs(encoded[:len(encoded)/2], func(blameMessage) {}))
+}
+
+// TestBlameMessagesFitADatagram fills a message with what it may carry at most.
+func TestBlameMessagesFitADatagram(t *testing.T) {
+	c, clock := crashesOf(t, &probeCounter{})
+	var strikes []suspect.CandidateStrike
+	for i := range 2 * maxStrikesPerMessage {
+		candidate := suspect.PartCandidate(fmt.Sprint(i))
+		strikes = append(strikes, suspect.CandidateStrike{
+			Candidate: candidate,
+			Strike: suspect.Strike{
+				CrashID: strings.Repeat("i", 24) + "/1771671224107",
+			},
+		})
+		c.outbox.addCleared(time.Time{}, candidate)
+		c.outbox.addTrial(time.Time{}, candidate)
 	}
-	c.apply(clock.Now(), reports)
-	require.Len(t, c.set.Records(clock.Now()), maxRequestsPerCrash)
-	report.AgeMillis = math.MaxInt64
-	c.apply(clock.Now(), []crashReport{report})
-	require.False(t, c.quarantines(clock.Now(), 1))
+	c.outbox.addStrikes(strikes)
+	require.Less(t, len(encode(t, c.outbox.take(clock.Now(), "gateway-of-a-long-name"))), udp.MaxMessage)
 }
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -5,6 +5,7 @@
 
 	"waxwingpick"
 	"waxwingpick/core/retry"
+	"waxwingpick/core/suspect"
 	"waxwingpick/io/prometheus"
 )
 
@@ -50,9 +51,21 @@
 	x.trail.AddNotable(waxwingpick.ActionChoose.Of(now, verdict.String(), inputs...))
 }
 
-// recordQuarantined records that the request is refused because it crashed targets.
-func (x *exchange) recordQuarantined(now time.Time) {
-	x.trail.AddNotable(waxwingpick.ActionChoose.Of(now, "crashSuspect", waxwingpick.In("fingerprint", x.fingerprint().String())))
+// recordCrashSuspect records that the request is refused because of what crashed targets.
+func (x *exchange) recordCrashSuspect(now time.Time, d suspect.Decision) {
+	inputs := []waxwingpick.Input{
+		waxwingpick.In("candidate", d.Candidate.String()),
+		waxwingpick.In("fingerprint", x.fingerprint().String()),
+		waxwingpick.In("crashes", d.Crashes),
+		waxwingpick.InMillis("retryAfter", d.RetryAfter),
+	}
+	for _, part := range x.in.Prompt.Parts {
+		if suspect.PartCandidate(part.ID) == d.Candidate {
+			inputs = append(inputs, waxwingpick.In("part", part.ID))
+			break
+		}
+	}
+	x.trail.AddNotable(waxwingpick.ActionChoose.Of(now, "crashSuspect", inputs...))
 }
 
 // recordPrefillFailure records that an engine did not complete the prefill stage.
--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -28,15 +28,16 @@
 	maxDigestAge = time.Second
 )
 
-// message is what gateways send to each other about load and crashes.
+// message is what gateways send to each other about load.
 type message struct {
 	_    struct{} `cbor:",toarray"`
 	From waxwingpick.InstanceID
 	Zone waxwingpick.AvailabilityZone
 	// Services summarizes the sender's own requests, for gateways of its availability zone.
 	Services map[waxwingpick.ServiceName]placement.Summary
-	Crashes  []crashReport
-	Digests  []zoneDigest
+	// Crashes is empty. Earlier versions of the program sent crashes in it.
+	Crashes []cbor.RawMessage
+	Digests []zoneDigest
 }
 
 // zoneDigest summarizes the requests of all gateways of an availability zone for the other zones.
@@ -90,7 +91,7 @@
 		aggregators:      digest.New(p.options.Instance, p.options.Zone),
 		remote:           make(map[waxwingpick.AvailabilityZone]remoteDigest),
 	}
-	p.crashTracker.broadcast = g.sendCrashes
+	p.crashTracker.broadcast = g.sendBlame
 	p.statements.peers = g
 	return g
 }
@@ -107,7 +108,9 @@
 		p.timers.Every(peerGracePeriod, g.peers.expire),
 		p.timers.Every(feed.UpdatePeriod, g.sendUpdate),
 		p.timers.Every(summaryInterval, g.sendDigest),
-		p.timers.Every(summaryInterval, g.sendSummary))
+		p.timers.Every(summaryInterval, g.sendSummary),
+		p.timers.Every(blameInterval, g.sendBlame),
+		p.timers.Every(convictionsInterval, g.sendConvictions))
 }
 
 // sendSummary sends the summary of this process to the gateways of its zone, or to all gateways of a small fleet. The
@@ -123,22 +126,11 @@
 	if !due {
 		return
 	}
-	if g.process.crashTracker.hasPending() {
-		g.sendCrashes(now)
-		return
-	}
 	m := g.summary(now)
 	m.Digests = g.takeUnforwarded(now)
 	g.send(peers, m)
 }
 
-// sendCrashes immediately sends this process's summary and the pending crashes to all gateways.
-func (g *gossip) sendCrashes(now time.Time) {
-	m := g.summary(now)
-	m.Crashes = g.process.crashTracker.reports(now)
-	g.send(g.peers.all(), m)
-}
-
 // summary returns a message with the requests of this process.
 func (g *gossip) summary(now time.Time) message {
 	return message{
@@ -267,6 +259,10 @@
 		g.follower.applyUpdate(g.process.timers.Now(), update)
 		return
 	}
+	if len(encoded) > 0 && encoded[0] == blameKind {
+		g.receiveBlame(g.process.timers.Now(), encoded[1:])
+		return
+	}
 	if len(encoded) > 0 && g.receiveStatements(g.process.timers.Now(), encoded[0], encoded[1:]) {
 		return
 	}
@@ -278,7 +274,6 @@
 }
 
 func (g *gossip) applyMessage(now time.Time, m message) {
-	g.process.crashTracker.apply(now, m.Crashes)
 	g.process.statements.processSeen(now, m.From)
 	sameZone := m.Zone == g.process.options.Zone
 	g.mu.Lock()
--- a/internal/gateway/prefill.go
+++ b/internal/gateway/prefill.go
@@ -54,6 +54,7 @@
 	}
 	// A prefill stage alone does not run the request.
 	s := sendResult{
+		sentAt:  sentAt,
 		err:     err,
 		refusal: waxwingpick.NotRun(reasonOf(err), noTargetRetry, "prefill failed"),
 	}
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -77,9 +77,7 @@
 	if p.gate, err = drain.New(drain.WithLameDuck(o.LameDuck), drain.WithEnd(o.StopTimeout)); err != nil {
 		return nil, fmt.Errorf("create drain gate: %w", err)
 	}
-	if p.crashTracker, err = newCrashTracker(p); err != nil {
-		return nil, err
-	}
+	p.crashTracker = newCrashTracker(p)
 	p.lifecycle, p.cancel = context.WithCancel(context.Background())
 	return p, nil
 }
@@ -103,7 +101,7 @@
 	} else {
 		p.loops.Go(newFollower(p, sinks...).run)
 	}
-	p.stops = append(p.stops, p.timers.Every(statementsInterval, p.statements.sync))
+	p.stops = append(p.stops, p.timers.Every(statementsInterval, p.statements.sync), p.timers.Every(suspectsInterval, p.crashTracker.count))
 }
 
 // Drain turns readiness off and waits until no request runs or ctx ends.
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -59,6 +59,12 @@
 	callerLeft bool
 	// computedFingerprint caches the result of fingerprint.
 	computedFingerprint waxwingpick.Option[suspect.Fingerprint]
+	// computedCandidates caches the result of candidates.
+	computedCandidates []suspect.Candidate
+	// trial is the number of the trial as which the request runs, zero if it is none.
+	trial uint64
+	// succeeded is set once a target's response has a status of success.
+	succeeded bool
 }
 
 // fingerprint identifies the request among those that were in flight when targets crashed.
@@ -70,6 +76,14 @@
 	return f
 }
 
+// candidates returns what a crash of the request's target may be attributed to.
+func (x *exchange) candidates() []suspect.Candidate {
+	if x.computedCandidates == nil {
+		x.computedCandidates = suspect.CandidatesOf(x.fingerprint(), x.in.Prompt)
+	}
+	return x.computedCandidates
+}
+
 // gateIDs numbers the requests in the drain gate, since callers may use the same request ID twice.
 var gateIDs atomic.Uint64
 
@@ -197,8 +211,9 @@
 
 // finish ends the request's accounting. refusal is nil if the caller got a target's response.
 func (x *exchange) finish(refusal *waxwingpick.Refusal) {
-	if refusal == nil {
-		x.process.crashTracker.set.ClearSuspect(x.process.timers.Now(), x.fingerprint())
+	// A target may respond with an error before it begins to answer.
+	if refusal == nil && x.succeeded {
+		x.process.crashTracker.completed(x.process.timers.Now(), x.candidates())
 	}
 	x.recordEnd(refusal)
 	x.releaseCache()
--- a/io/prometheus/gateway.go
+++ b/io/prometheus/gateway.go
@@ -36,6 +36,8 @@
 	stated     *client.GaugeVec
 	crashes    client.Counter
 	inFlight   client.Counter
+	verdicts   *client.CounterVec
+	suspects   *client.GaugeVec
 }
 
 // NewGateway returns metrics with a new registry.
@@ -65,10 +67,13 @@
 		stated:     gauge("gateway_stated_targets", "Targets by the statements about themselves that apply.", "kind"),
 		crashes:    unlabeledCounter("gateway_target_crashes_total", "Crashes of targets that this gateway detected."),
 		inFlight:   unlabeledCounter("gateway_crashed_requests_total", "Requests of this gateway that were in flight when a target crashed."),
+		verdicts:   counter("gateway_crash_verdicts_total", "Requests and prompt parts that were convicted of crashes, or cleared.", "verdict"),
+		suspects:   gauge("gateway_crash_suspects", "Requests and prompt parts by what is known of their crashes.", "state"),
 	}
 	for _, c := range []client.Collector{
 		g.requests, g.responses, g.firstEvent, g.refused, g.retries, g.attempts, g.running, g.version, g.peers, g.sharing,
 		g.feedReads, g.feedAge, g.reportAge, g.targets, g.statements, g.stated, g.crashes, g.inFlight,
+		g.verdicts, g.suspects,
 	} {
 		if err := g.registry.Register(c); err != nil {
 			return nil, fmt.Errorf("register metrics: %w", err)
@@ -192,3 +197,18 @@
 	}
 	g.inFlight.Add(float64(inFlight))
 }
+
+// CrashVerdict counts a request or prompt part that was convicted of crashes, or cleared.
+func (g *Gateway) CrashVerdict(convicted bool) {
+	verdict := "cleared"
+	if convicted {
+		verdict = "convicted"
+	}
+	g.verdicts.WithLabelValues(verdict).Inc()
+}
+
+// CrashSuspects sets the numbers of requests and prompt parts that are suspected and convicted of crashes.
+func (g *Gateway) CrashSuspects(suspected, convicted int) {
+	g.suspects.WithLabelValues("suspected").Set(float64(suspected))
+	g.suspects.WithLabelValues("convicted").Set(float64(convicted))
+}
