core/suspect: sound parts are not convicted by explained crashes; crashes of a target that keeps its ID are counted

TestPromptPartThatCrashesTargetsIsRefused/after_the_first_event failed once beside load (a sixth crash). Cause: crashes were told apart by target and start time. A target that starts again under its ID before the new start is known had all its crashes counted as one.

--- a/core/suspect/blame.go
+++ b/core/suspect/blame.go
@@ -11,16 +11,19 @@
 )
 
 const (
-	// requestStrikes is the number of strikes after which a whole request is convicted.
-	requestStrikes = 2
-	// minPartStrikes and maxPartStrikes bound the number of strikes after which a prompt part is convicted.
+	// minRequestStrikes and maxRequestStrikes bound the number of strikes after which a whole request is convicted.
+	minRequestStrikes = 2
+	maxRequestStrikes = 3
+	// minPartStrikes and maxPartStrikes bound the number of strikes after which a prompt part is convicted. A part with
+	// complete responses in the past needs the latter.
 	minPartStrikes = 3
 	maxPartStrikes = 5
-	// falseBlame is the probability with which a part that crashes nothing may collect the strikes that convict it, unless
-	// maxPartStrikes is reached before.
-	falseBlame = 1e-5
+	// falseRequestBlame and falsePartBlame are the probabilities with which a candidate that crashes nothing may collect the
+	// strikes that convict it, unless their maximum is reached before.
+	falseRequestBlame = 1e-3
+	falsePartBlame    = 1e-5
 	// priorResponses and priorCrashed are counted in addition to the observed responses, until there are enough of them.
-	priorResponses = 100
+	priorResponses = 300
 	priorCrashed   = 1
 	// rateWindow is the time over which responses are counted, up to twice that.
 	rateWindow = 30 * time.Second
@@ -46,9 +49,10 @@
 // Blame attributes the crashes of targets to what the requests in flight have in common. A candidate is a cause that
 // crashes every target that begins to answer a request with it, so that one complete response clears it of all crashes
 // before. A candidate is convicted by a number of crashes without a complete response in between, which grows with the
-// share of responses that crashes end anyway. Of several candidates that the same crashes convict, the one of the
-// greatest depth is, as it stops the fewest requests. These crashes are explained then: the others are convicted only by
-// a further crash at which it was not in flight. A whole request does not explain crashes for a prompt part.
+// share of responses that crashes end anyway. Of several candidates that the same crashes convict, one without complete
+// responses in the past is, and of these the one of the greatest depth, as it stops the fewest requests. Crashes at which
+// a convicted candidate was in flight are explained and count against no other one, except that a whole request does not
+// explain crashes for a prompt part.
 //
 // The expected load is a few requests that share a part of their prompts, among many sound ones that share their other
 // parts. Processes exchange strikes, convictions and completions in any order and any number of times.
@@ -63,7 +67,7 @@
 	windowAt          time.Time
 	trials            uint64
 	// explained maps the crashes at which a convicted candidate was in flight to that candidate.
-	explained map[string]Candidate
+	explained map[string]explanation
 }
 
 // responses counts the responses that began, and those of them that a crash ended.
@@ -77,7 +81,9 @@
 	strikes strikes
 	// completedAt is when a response with the candidate was last known to be complete.
 	completedAt time.Time
-	convicted   bool
+	// completes means that responses with the candidate were complete, possibly long ago.
+	completes bool
+	convicted bool
 	// lastCrash is the latest crash of a convicted candidate, trial and trialAt its running trial.
 	lastCrash    time.Time
 	trial        uint64
@@ -85,6 +91,12 @@
 	failedTrials int
 }
 
+// explanation is the candidate to which a crash is attributed.
+type explanation struct {
+	by     Candidate
+	strike Strike
+}
+
 // Conviction is a convicted candidate as processes report it to each other.
 type Conviction struct {
 	Candidate    Candidate
@@ -116,7 +128,7 @@
 	return &Blame{
 		owner:     owner,
 		states:    make(map[Candidate]*state),
-		explained: make(map[string]Candidate),
+		explained: make(map[string]explanation),
 	}
 }
 
@@ -247,6 +259,7 @@
 		return false, false
 	}
 	s.completedAt = at
+	s.completes = true
 	before := len(s.strikes)
 	s.strikes = s.strikes.since(at)
 	if !s.convicted || s.lastCrash.After(at) {
@@ -261,13 +274,18 @@
 // Crashed records a crash that this process detected. It returns the strikes to report to other processes, and the
 // candidates that these strikes convict.
 func (b *Blame) Crashed(now time.Time, d DetectedCrash) ([]CandidateStrike, []Change) {
-	reported := slices.DeleteFunc(strikesOf(d), func(s CandidateStrike) bool {
+	reported := slices.DeleteFunc(strikesOf(b.owner, d), func(s CandidateStrike) bool {
 		return !s.Strike.SentAt.After(b.completed.last(s.Candidate))
 	})
+	for i, s := range reported {
+		reported[i].Strike.Completes = !b.completed.last(s.Candidate).IsZero()
+	}
+	changes := b.Apply(now, reported)
+	// A crash is judged by the share of crashes before it.
 	b.mu.Lock()
 	b.window(now).crashed += len(d.InFlight)
 	b.mu.Unlock()
-	return reported, b.Apply(now, reported)
+	return reported, changes
 }
 
 // Apply records strikes of this or another process and returns the candidates that they convict.
@@ -276,17 +294,18 @@
 	defer b.mu.Unlock()
 	struck := make(map[Candidate]*state)
 	for _, r := range reported {
-		if now.Sub(r.Strike.LostAt) > suspicionTTL {
+		if now.Sub(r.Strike.LostAt) > suspicionTTL || b.isExplained(r.Candidate, r.Strike) {
 			continue
 		}
 		s := b.state(now, r.Candidate)
 		s.completedAt = latest(s.completedAt, b.completed.last(r.Candidate))
+		s.completes = s.completes || r.Strike.Completes || !s.completedAt.IsZero()
 		if !r.Strike.SentAt.After(s.completedAt) {
 			continue
 		}
 		s.strike(now, r.Strike)
 		if s.convicted {
-			b.explain(r.Candidate, r.Strike.CrashID)
+			b.explain(r.Candidate, strikes{r.Strike})
 			continue
 		}
 		struck[r.Candidate] = s
@@ -299,7 +318,8 @@
 		}
 		s := struck[c]
 		s.convicted = true
-		b.explain(c, s.strikes.crashIDs()...)
+		delete(struck, c)
+		b.explain(c, s.strikes)
 		changes = append(changes, Change{
 			Candidate: c,
 			Crashes:   s.strikes.crashIDs(),
@@ -307,21 +327,15 @@
 	}
 }
 
-// culprit returns the candidate of the greatest depth that has enough strikes to be convicted.
+// culprit returns the candidate to convict, if one has enough strikes.
 func (b *Blame) culprit(now time.Time, struck map[Candidate]*state) (Candidate, bool) {
 	var found []Candidate
 	for c, s := range struck {
-		if s.convicted || len(s.strikes) == 0 {
-			continue
-		}
-		if by, ok := b.explained[s.strikes[len(s.strikes)-1].CrashID]; ok && (by.kind == CandidatePart || c.kind == CandidateRequest) {
-			continue
-		}
-		required := b.required(now, c.kind)
+		required := b.required(now, c.kind, s.completes)
 		if len(s.strikes) == required && b.hasRival(s, struck) {
 			required++
 		}
-		if len(s.strikes) >= min(required, maxPartStrikes) {
+		if len(s.strikes) >= required {
 			found = append(found, c)
 		}
 	}
@@ -329,47 +343,61 @@
 		return Candidate{}, false
 	}
 	return slices.MinFunc(found, func(x, y Candidate) int {
-		return cmp.Or(cmp.Compare(struck[y].strikes.depth(), struck[x].strikes.depth()), cmp.Compare(x.sum, y.sum))
+		return cmp.Or(compareSuspects(struck[x], struck[y]), cmp.Compare(x.sum, y.sum))
 	}), true
 }
 
-// hasRival reports whether a candidate of greater depth, which is not a whole request, was in flight at the latest
-// crashes of a candidate as well.
+// compareSuspects orders states with strikes by how likely and how cheap they are as the cause, the best one first.
+func compareSuspects(s, other *state) int {
+	if s.completes != other.completes {
+		if other.completes {
+			return -1
+		}
+		return 1
+	}
+	return cmp.Compare(other.strikes.depth(), s.strikes.depth())
+}
+
+// hasRival reports whether a prompt part that is a better suspect was in flight at the latest crashes of a candidate too.
 func (b *Blame) hasRival(s *state, struck map[Candidate]*state) bool {
 	for c, other := range struck {
-		if c.kind == CandidatePart && len(other.strikes) > 0 && other.strikes.depth() > s.strikes.depth() && s.strikes.shares(other.strikes, rivalStrikes) {
+		if c.kind == CandidatePart && len(other.strikes) > 0 && compareSuspects(other, s) < 0 && s.strikes.shares(other.strikes, rivalStrikes) {
 			return true
 		}
 	}
 	return false
 }
 
-// explain records that a convicted candidate was in flight at crashes. Whole requests that were convicted only by crashes
-// that a prompt part explains, before its strikes were known, are suspected again.
-func (b *Blame) explain(by Candidate, crashIDs ...string) {
+// explain records that a convicted candidate was in flight at crashes, which no longer count against others. A whole
+// request whose conviction rests on such crashes is cleared.
+func (b *Blame) explain(by Candidate, crashes strikes) {
 	if len(b.explained) >= maxExplained {
 		clear(b.explained)
 	}
-	for _, id := range crashIDs {
-		if b.explained[id].kind != CandidatePart {
-			b.explained[id] = by
+	for _, s := range crashes {
+		if !b.isExplained(by, s) {
+			b.explained[s.CrashID] = explanation{
+				by:     by,
+				strike: s,
+			}
 		}
 	}
-	if by.kind != CandidatePart {
-		return
-	}
 	for c, s := range b.states {
-		if c.kind == CandidateRequest && s.convicted && b.explainedByPart(s.strikes) {
+		if c == by || by.kind == CandidateRequest && c.kind == CandidatePart || s.convicted && c.kind == CandidatePart {
+			continue
+		}
+		before := len(s.strikes)
+		s.strikes = s.strikes.except(crashes)
+		if len(s.strikes) < before {
 			s.convicted = false
 		}
 	}
 }
 
-// explainedByPart reports whether a prompt part explains all of the crashes.
-func (b *Blame) explainedByPart(all strikes) bool {
-	return len(all) > 0 && !slices.ContainsFunc(all, func(s Strike) bool {
-		return b.explained[s.CrashID].kind != CandidatePart
-	})
+// isExplained reports whether a crash counts against no candidate of this kind but the one that explains it.
+func (b *Blame) isExplained(c Candidate, s Strike) bool {
+	e, ok := b.explained[s.CrashID]
+	return ok && e.by != c && (e.by.kind == CandidatePart || c.kind == CandidateRequest) && e.strike.sameCrash(s)
 }
 
 // strike adds a strike.
@@ -386,17 +414,21 @@
 	}
 }
 
-// required returns the number of strikes that convict a candidate. If a share of all responses ends in crashes, a part
-// that crashes nothing collects n strikes in a row with the n-th power of that share.
-func (b *Blame) required(now time.Time, kind CandidateKind) int {
-	if kind == CandidateRequest {
-		return requestStrikes
+// required returns the number of strikes that convict a candidate. If a share of all responses ends in crashes, one that
+// crashes nothing collects n strikes in a row with the n-th power of that share.
+func (b *Blame) required(now time.Time, kind CandidateKind, completes bool) int {
+	least, most, falseBlame := minPartStrikes, maxPartStrikes, falsePartBlame
+	switch {
+	case kind == CandidateRequest:
+		least, most, falseBlame = minRequestStrikes, maxRequestStrikes, falseRequestBlame
+	case completes:
+		return maxPartStrikes
 	}
 	w := *b.window(now)
 	began := priorResponses + w.began + b.previous.began
 	crashed := min(priorCrashed+w.crashed+b.previous.crashed, began-1)
 	n := math.Log(falseBlame) / math.Log(float64(crashed)/float64(began))
-	return max(minPartStrikes, int(min(maxPartStrikes, math.Ceil(n))))
+	return max(least, int(min(float64(most), math.Ceil(n))))
 }
 
 // state returns the state of a candidate, and creates it if there is none.
--- a/core/suspect/evidence.go
+++ b/core/suspect/evidence.go
@@ -19,11 +19,17 @@
 
 // Strike is one crash at which a request with a candidate was in flight, and its response had just begun or had not begun.
 type Strike struct {
-	// CrashID identifies the crash equally in every process.
+	// CrashID identifies the run of the target that crashed as far as it is known, equally in every process.
 	CrashID string
+	// Reporter is the process that detected the crash, and Number its number of the crash among those with the same ID.
+	Reporter string
+	Number   int
 	// Depth is the index of a part in the prompt. Requests with a part at a greater depth are fewer than those with the parts
 	// before it.
 	Depth uint8
+	// Completes means that responses with the candidate were complete at some time before, so that it is less likely to be
+	// the cause.
+	Completes bool
 	// SentAt is when the request was sent to the target, and LostAt when its response broke off.
 	SentAt time.Time
 	LostAt time.Time
@@ -37,7 +43,7 @@
 
 // strikesOf returns the strikes of a crash, one for each candidate. Of several requests with a candidate the one that
 // was sent last counts.
-func strikesOf(d DetectedCrash) []CandidateStrike {
+func strikesOf(reporter string, d DetectedCrash) []CandidateStrike {
 	latest := make(map[Candidate]Strike)
 	for _, f := range d.InFlight {
 		if began, ok := f.BeganAt.Get(); ok && f.LostAt.Sub(began) > beginWindow {
@@ -50,10 +56,12 @@
 			}
 			if known, ok := latest[c]; !ok || f.SentAt.After(known.SentAt) {
 				latest[c] = Strike{
-					CrashID: d.Crash.ID,
-					Depth:   depth,
-					SentAt:  f.SentAt,
-					LostAt:  f.LostAt,
+					CrashID:  d.Crash.ID,
+					Reporter: reporter,
+					Number:   d.Crash.Number,
+					Depth:    depth,
+					SentAt:   f.SentAt,
+					LostAt:   f.LostAt,
 				}
 			}
 		}
@@ -77,10 +85,8 @@
 
 // with returns the strikes with a further one, or the same strikes if it is known or not independent.
 func (s strikes) with(added Strike) strikes {
-	for _, known := range s {
-		if known.CrashID == added.CrashID {
-			return s
-		}
+	if slices.ContainsFunc(s, added.sameCrash) {
+		return s
 	}
 	all := append(slices.Clone(s), added)
 	slices.SortFunc(all, func(a, b Strike) int {
@@ -95,18 +101,34 @@
 	return independent[max(0, len(independent)-maxStrikes):]
 }
 
+// except returns the strikes of other crashes.
+func (s strikes) except(others strikes) strikes {
+	return slices.DeleteFunc(slices.Clone(s), func(one Strike) bool { return slices.ContainsFunc(others, one.sameCrash) })
+}
+
 // since returns the strikes of requests that were sent after a time.
 func (s strikes) since(at time.Time) strikes {
 	return slices.DeleteFunc(slices.Clone(s), func(one Strike) bool { return !one.SentAt.After(at) })
 }
 
+// sameCrash reports whether two strikes are of one crash.
+func (s Strike) sameCrash(other Strike) bool {
+	switch {
+	case s.CrashID != other.CrashID:
+		return false
+	case s.Reporter == other.Reporter:
+		return s.Number == other.Number
+	}
+	return s.LostAt.Sub(other.LostAt).Abs() <= lossWindow
+}
+
 // shares reports whether the latest n strikes are of crashes at which another candidate has a strike as well.
 func (s strikes) shares(other strikes, n int) bool {
 	if len(s) < n {
 		return false
 	}
 	for _, one := range s[len(s)-n:] {
-		if !slices.ContainsFunc(other, func(o Strike) bool { return o.CrashID == one.CrashID }) {
+		if !slices.ContainsFunc(other, one.sameCrash) {
 			return false
 		}
 	}
--- a/core/suspect/losses.go
+++ b/core/suspect/losses.go
@@ -33,6 +33,8 @@
 	// downAt is when the target was last found to be down, updatedAt when anything was last recorded of it.
 	downAt    time.Time
 	updatedAt time.Time
+	// crashes counts the runs of the target that have ended under this ID.
+	crashes int
 }
 
 // Flight is a request in flight at a target.
@@ -70,8 +72,13 @@
 	defer l.mu.Unlock()
 	f.LostAt = now
 	current := l.incarnation(now, t)
+	if !current.downAt.IsZero() && f.SentAt.After(current.downAt) {
+		// The target had started again.
+		current.downAt = time.Time{}
+		current.crashes++
+	}
 	if !current.downAt.IsZero() && now.Sub(current.downAt) <= lossWindow {
-		return sighting(now, t, []Flight{f})
+		return current.sighting(now, t, []Flight{f})
 	}
 	if len(current.lost) < maxLosses {
 		current.lost = append(current.lost, f)
@@ -96,7 +103,7 @@
 	if len(inFlight) == 0 {
 		return waxwingpick.None[DetectedCrash]()
 	}
-	return sighting(now, t, inFlight)
+	return current.sighting(now, t, inFlight)
 }
 
 // incarnation returns the record of a target's current run, and removes records that were not updated within lossWindow.
@@ -121,12 +128,13 @@
 	return fmt.Sprintf("%s/%d", t.ID, t.StartUnixMillis)
 }
 
-func sighting(now time.Time, t waxwingpick.Target, inFlight []Flight) waxwingpick.Option[DetectedCrash] {
+func (i *incarnation) sighting(now time.Time, t waxwingpick.Target, inFlight []Flight) waxwingpick.Option[DetectedCrash] {
 	return waxwingpick.Some(DetectedCrash{
 		Crash: Crash{
 			ID:     incarnationID(t),
 			At:     now,
 			Target: t.ID,
+			Number: i.crashes,
 		},
 		InFlight: inFlight,
 	})
--- a/core/suspect/losses_test.go
+++ b/core/suspect/losses_test.go
@@ -98,6 +98,32 @@
 	}
 }
 
+// TestCrashesUnderOneIDAreCounted crashes a target that starts again under the same ID, before its new start is known.
+// Crashes that count as one would never convict what causes them.
+func TestCrashesUnderOneIDAreCounted(t *testing.T) {
+	one := waxwingpick.Target{
+		ID: "one",
+	}
+	now := time.Unix(1000, 0)
+	losses := suspect.NewLosses()
+	blame := suspect.NewBlame("gateway")
+	fatal := []suspect.Candidate{suspect.PartCandidate("fatal")}
+	for n := range 3 {
+		require.Equal(t, suspect.StatusClean, blame.Decide(now, fatal, 0).Status)
+		f := flight(suspect.Fingerprint(n))
+		f.SentAt = now.Add(10 * time.Millisecond)
+		f.Candidates = fatal
+		now = now.Add(20 * time.Millisecond)
+		_, early := losses.ResponseLost(now, one, f).Get()
+		require.False(t, early, "the target had started again")
+		crash, ok := losses.TargetDown(now, one).Get()
+		require.True(t, ok)
+		require.Equal(t, n, crash.Crash.Number)
+		blame.Crashed(now, crash)
+	}
+	require.Equal(t, suspect.StatusRefused, blame.Decide(now, fatal, 0).Status)
+}
+
 // TestLossesConvictOnlyWhatWasInFlight draws responses that break off and crashes of targets. A refused request was in
 // flight at two crashes, and a request that crashes each target that runs it is refused after the second one.
 func TestLossesConvictOnlyWhatWasInFlight(t *testing.T) {
--- a/core/suspect/record.go
+++ b/core/suspect/record.go
@@ -50,6 +50,9 @@
 	At time.Time `json:"at"`
 	// Target is the target that crashed.
 	Target waxwingpick.TargetID `json:"target,omitempty"`
+	// Number counts the crashes under this ID that the detecting process has seen before. A target that starts again may
+	// keep its ID, and its new start may not be known yet.
+	Number int `json:"-"`
 }
 
 // Record holds the crashes of one fingerprint.
--- a/internal/gateway/blamelink.go
+++ b/internal/gateway/blamelink.go
@@ -46,9 +46,11 @@
 type strikeReport struct {
 	_             struct{} `cbor:",toarray"`
 	Crash         string
+	Number        int
 	Kind          uint8
 	Sum           uint64
 	Depth         uint8
+	Completes     bool
 	SentAgeMillis int64
 	LostAgeMillis int64
 }
@@ -97,7 +99,7 @@
 	first := true
 	for _, s := range strikes {
 		first = first && !slices.ContainsFunc(o.strikes, func(p pending[suspect.CandidateStrike]) bool {
-			return p.report.Strike.CrashID == s.Strike.CrashID
+			return p.report.Strike.CrashID == s.Strike.CrashID && p.report.Strike.Number == s.Strike.Number
 		})
 	}
 	for _, s := range strikes {
@@ -152,9 +154,11 @@
 	o.strikes = takeNext(o.strikes, maxStrikesPerMessage, func(s suspect.CandidateStrike) {
 		m.Strikes = append(m.Strikes, strikeReport{
 			Crash:         s.Strike.CrashID,
+			Number:        s.Strike.Number,
 			Kind:          uint8(s.Candidate.Kind()),
 			Sum:           s.Candidate.Sum(),
 			Depth:         s.Strike.Depth,
+			Completes:     s.Strike.Completes,
 			SentAgeMillis: now.Sub(s.Strike.SentAt).Milliseconds(),
 			LostAgeMillis: now.Sub(s.Strike.LostAt).Milliseconds(),
 		})
@@ -243,7 +247,7 @@
 			c.logCleared(candidate, "response complete at "+string(m.From))
 		}
 	}
-	c.logConvicted(c.blame.Apply(now, decodeStrikes(now, m.Strikes)), "crash detected by "+string(m.From))
+	c.logConvicted(c.blame.Apply(now, decodeStrikes(now, m.From, m.Strikes)), "crash detected by "+string(m.From))
 	for _, n := range m.Trials[:min(len(m.Trials), maxNoticesPerMessage)] {
 		if candidate, ok := suspect.NewCandidate(suspect.CandidateKind(n.Kind), n.Sum); ok {
 			c.blame.TrialStarted(before(now, n.AgeMillis), candidate)
@@ -266,7 +270,7 @@
 	}
 }
 
-func decodeStrikes(now time.Time, reports []strikeReport) []suspect.CandidateStrike {
+func decodeStrikes(now time.Time, from waxwingpick.InstanceID, reports []strikeReport) []suspect.CandidateStrike {
 	var all []suspect.CandidateStrike
 	for _, r := range reports[:min(len(reports), maxStrikesPerMessage)] {
 		candidate, ok := suspect.NewCandidate(suspect.CandidateKind(r.Kind), r.Sum)
@@ -276,10 +280,13 @@
 		all = append(all, suspect.CandidateStrike{
 			Candidate: candidate,
 			Strike: suspect.Strike{
-				CrashID: r.Crash,
-				Depth:   r.Depth,
-				SentAt:  before(now, r.SentAgeMillis),
-				LostAt:  before(now, r.LostAgeMillis),
+				CrashID:   r.Crash,
+				Reporter:  string(from),
+				Number:    r.Number,
+				Depth:     r.Depth,
+				Completes: r.Completes,
+				SentAt:    before(now, r.SentAgeMillis),
+				LostAt:    before(now, r.LostAgeMillis),
 			},
 		})
 	}
