core/suspect: strikes that a part shares with a better suspect count for that one only

A rival was looked for among the candidates of the same report and in the latest two crashes only. The two new rows of TestBlame failed before.

--- a/core/suspect/blame.go
+++ b/core/suspect/blame.go
@@ -33,9 +33,10 @@
 	trialTimeout = 30 * time.Second
 	// clearedTTL is the time for which a cleared candidate is remembered, so that older reports do not convict it again.
 	clearedTTL = 10 * time.Minute
-	// rivalStrikes is the number of latest strikes that a candidate shares with one of greater depth, its rival, and by which
-	// it needs one strike more.
-	rivalStrikes = 2
+	// rivalStrikes is the number of strikes that a candidate shares with a better suspect, its rival, from which on these
+	// strikes count for the rival only, unless there are maxRivalStrikes in all.
+	rivalStrikes    = 2
+	maxRivalStrikes = 7
 	// maxExplained bounds the explained crashes that are remembered.
 	maxExplained = 1024
 	// maxCandidates bounds the candidates with strikes, convicted and cleared ones.
@@ -332,10 +333,7 @@
 	var found []Candidate
 	for c, s := range struck {
 		required := b.required(now, c.kind, s.completes)
-		if len(s.strikes) == required && b.hasRival(s, struck) {
-			required++
-		}
-		if len(s.strikes) >= required {
+		if len(s.strikes) >= required && (len(s.strikes) >= maxRivalStrikes || len(s.strikes)-b.rivalShare(s) >= required) {
 			found = append(found, c)
 		}
 	}
@@ -358,14 +356,18 @@
 	return cmp.Compare(other.strikes.depth(), s.strikes.depth())
 }
 
-// hasRival reports whether a prompt part that is a better suspect was in flight at the latest crashes of a candidate too.
-func (b *Blame) hasRival(s *state, struck map[Candidate]*state) bool {
-	for c, other := range struck {
-		if c.kind == CandidatePart && len(other.strikes) > 0 && compareSuspects(other, s) < 0 && s.strikes.shares(other.strikes, rivalStrikes) {
-			return true
+// rivalShare returns the number of strikes that a candidate shares with its rival.
+func (b *Blame) rivalShare(s *state) int {
+	most := 0
+	for c, other := range b.states {
+		if c.kind != CandidatePart || other.convicted || len(other.strikes) < rivalStrikes || compareSuspects(other, s) >= 0 {
+			continue
+		}
+		if n := s.strikes.shared(other.strikes); n >= rivalStrikes {
+			most = max(most, n)
 		}
 	}
-	return false
+	return most
 }
 
 // explain records that a convicted candidate was in flight at crashes, which no longer count against others. A whole
--- a/core/suspect/blame_test.go
+++ b/core/suspect/blame_test.go
@@ -247,6 +247,28 @@
 			},
 			fatalRefused: true,
 		},
+		"first part in a crash of another cause before the conviction": {
+			play: func(h *history) {
+				h.crash(fatal(1))
+				h.now = h.now.Add(step)
+				h.crash(sound(1))
+				h.now = h.now.Add(step)
+				for i := range 2 {
+					h.crash(fatal(10 + i))
+					h.now = h.now.Add(step)
+				}
+			},
+			fatalRefused: true,
+		},
+		"first part in crashes of another cause, deeper part not convicted yet": {
+			play: func(h *history) {
+				h.crash(fatal(1))
+				h.now = h.now.Add(step)
+				h.crash(fatal(2))
+				h.now = h.now.Add(step)
+				h.crash(sound(1))
+			},
+		},
 		"deeper part that was complete before": {
 			play: func(h *history) {
 				deeper := fatal(100)
--- a/core/suspect/evidence.go
+++ b/core/suspect/evidence.go
@@ -122,17 +122,15 @@
 	return s.LostAt.Sub(other.LostAt).Abs() <= lossWindow
 }
 
-// shares reports whether the latest n strikes are of crashes at which another candidate has a strike as well.
-func (s strikes) shares(other strikes, n int) bool {
-	if len(s) < n {
-		return false
-	}
-	for _, one := range s[len(s)-n:] {
-		if !slices.ContainsFunc(other, one.sameCrash) {
-			return false
+// shared returns the number of strikes that are of the same crashes as strikes of another candidate.
+func (s strikes) shared(other strikes) int {
+	n := 0
+	for _, one := range s {
+		if slices.ContainsFunc(other, one.sameCrash) {
+			n++
 		}
 	}
-	return true
+	return n
 }
 
 // depth returns the depth of the latest strike.
