internal/loopback: free addresses are not held by the Go runtime's check for process descriptors

Cause: before the first process is started, the os package checks once whether the kernel has process descriptors, and clones a process for that without syscall.ForkLock (os.checkPidfd, syscall.doCheckClonePidfd). It holds a copy of the listener that FreeAddr has open meanwhile. Ruled out: forks under ForkLock, whose descriptors are copied before FreeAddr can open its listener. FreeAddr makes the check happen before it listens.

--- a/internal/loopback/loopback.go
+++ b/internal/loopback/loopback.go
@@ -39,8 +39,20 @@
 	return net.JoinHostPort(Host(), "0")
 }
 
+// checkPidfd makes the Go runtime check once whether the kernel has process descriptors. The check forks a process that
+// syscall.ForkLock does not cover, and would otherwise run when the first process is started.
+var checkPidfd = sync.OnceFunc(func() {
+	p, err := os.FindProcess(os.Getpid())
+	if err != nil {
+		return
+	}
+	// Release cannot fail for a process that was found just now.
+	_ = p.Release()
+})
+
 // FreeAddr returns an address that nothing listens on. It never returns the same address twice.
 func FreeAddr() (string, error) {
+	checkPidfd()
 	mu.Lock()
 	defer mu.Unlock()
 	// A process that is forked while the listener is open holds it until it executes its program.
--- a/internal/loopback/loopback_test.go
+++ b/internal/loopback/loopback_test.go
@@ -74,18 +74,18 @@
 			}
 		})
 	}
-	used := 0
+	var used []error
 	for range addresses {
 		addr, err := loopback.FreeAddr()
 		require.NoError(t, err)
 		ln, err := net.Listen("tcp", addr)
 		if err != nil {
-			used++
+			used = append(used, err)
 			continue
 		}
 		require.NoError(t, ln.Close())
 	}
 	close(done)
 	forking.Wait()
-	require.Zero(t, used, "of %d addresses", addresses)
+	require.Empty(t, used, "of %d addresses", addresses)
 }
