--- a/core/suspect/blame.go
+++ b/core/suspect/blame.go
@@ -6,8 +6,6 @@
 	"slices"
 	"sync"
 	"time"
-
-	"waxwingpick"
 )
 
 const (
@@ -29,24 +27,14 @@
 	rateWindow = 30 * time.Second
 	// suspicionTTL is the time after which a strike no longer counts against a candidate that is not convicted.
 	suspicionTTL = time.Minute
-	// trialTimeout is the time after which a trial without a known outcome is over.
-	trialTimeout = 30 * time.Second
-	// clearedTTL is the time for which a cleared candidate is remembered, so that older reports do not convict it again.
-	clearedTTL = 10 * time.Minute
 	// rivalStrikes is the number of strikes that a candidate shares with a better suspect, its rival, from which on these
 	// strikes count for the rival only, unless there are maxRivalStrikes in all.
 	rivalStrikes    = 2
 	maxRivalStrikes = 7
 	// maxExplained bounds the explained crashes that are remembered.
 	maxExplained = 1024
-	// maxCandidates bounds the candidates with strikes, convicted and cleared ones.
-	maxCandidates = 4096
 )
 
-// trialPauses are the times between the last crash of a convicted candidate and its next trial, by the number of trials
-// that failed. They allow three trials in a day.
-var trialPauses = [...]time.Duration{2 * time.Minute, 30 * time.Minute, 450 * time.Minute, 24 * time.Hour}
-
 // Blame attributes the crashes of targets to what the requests in flight have in common. A candidate is a cause that
 // crashes every target that begins to answer a request with it, so that one complete response clears it of all crashes
 // before. A candidate is convicted by a number of crashes without a complete response in between, which grows with the
@@ -77,46 +65,12 @@
 	crashed int
 }
 
-// state is what is known of one candidate.
-type state struct {
-	strikes strikes
-	// completedAt is when a response with the candidate was last known to be complete.
-	completedAt time.Time
-	// completes means that responses with the candidate were complete, possibly long ago.
-	completes bool
-	convicted bool
-	// lastCrash is the latest crash of a convicted candidate, trial and trialAt its running trial.
-	lastCrash    time.Time
-	trial        uint64
-	trialAt      time.Time
-	failedTrials int
-}
-
 // explanation is the candidate to which a crash is attributed.
 type explanation struct {
 	by     Candidate
 	strike Strike
 }
 
-// Conviction is a convicted candidate as processes report it to each other.
-type Conviction struct {
-	Candidate    Candidate
-	LastCrash    time.Time
-	FailedTrials int
-}
-
-// Decision is whether a request may run.
-type Decision struct {
-	// Status is StatusSuspect for the trial of a convicted candidate.
-	Status Status
-	// Candidate is the one for which the request is refused or tried; Trial identifies the trial.
-	Candidate Candidate
-	Trial     uint64
-	// RetryAfter is the time until the next trial of a refused candidate. Crashes are its latest crashes.
-	RetryAfter time.Duration
-	Crashes    []string
-}
-
 // Change is a candidate that was convicted, with the crashes that convicted it.
 type Change struct {
 	Candidate Candidate
@@ -133,67 +87,6 @@
 	}
 }
 
-// Decide returns whether a request with these candidates may run. A request that runs as a trial passes the number of its
-// trial, zero otherwise.
-func (b *Blame) Decide(now time.Time, candidates []Candidate, trial uint64) Decision {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	d := Decision{}
-	var tried []*state
-	for _, c := range candidates {
-		s, ok := b.states[c]
-		if !ok || !s.convicted || trial != 0 && s.trial == trial {
-			continue
-		}
-		if wait := b.untilTrial(now, c, s); wait > 0 {
-			return Decision{
-				Status:     StatusRefused,
-				Candidate:  c,
-				RetryAfter: wait,
-				Crashes:    s.strikes.crashIDs(),
-			}
-		}
-		d.Status = StatusSuspect
-		d.Candidate = c
-		tried = append(tried, s)
-	}
-	if len(tried) > 0 {
-		b.trials++
-		d.Trial = b.trials
-	}
-	for _, s := range tried {
-		s.trial = d.Trial
-		s.trialAt = now
-	}
-	return d
-}
-
-// untilTrial returns the time until this process may try a convicted candidate.
-func (b *Blame) untilTrial(now time.Time, c Candidate, s *state) time.Duration {
-	pause := trialPauses[min(s.failedTrials, len(trialPauses)-1)]
-	due := s.lastCrash.Add(pause + b.trialDelay(c, pause))
-	if running := s.trialAt.Add(trialTimeout); !s.trialAt.IsZero() && running.After(due) {
-		due = running
-	}
-	return due.Sub(now)
-}
-
-// trialDelay returns this process's share of a quarter of the pause, so that the trials of several processes are apart.
-func (b *Blame) trialDelay(c Candidate, pause time.Duration) time.Duration {
-	share := rendezvous(Fingerprint(c.sum), waxwingpick.TargetID(b.owner))
-	return time.Duration(float64(pause/4) * (float64(share) / math.MaxUint64))
-}
-
-// TrialStarted records that another process tries a convicted candidate.
-func (b *Blame) TrialStarted(at time.Time, c Candidate) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if s, ok := b.states[c]; ok && s.convicted && at.After(s.trialAt) {
-		s.trialAt = at
-		s.trial = 0
-	}
-}
-
 // Began counts a response that began.
 func (b *Blame) Began(now time.Time) {
 	b.mu.Lock()
@@ -253,25 +146,6 @@
 	return convicted
 }
 
-// clear discards the strikes of requests that were sent before a complete response. It reports whether that changes
-// anything, and whether the candidate was convicted and is not any longer.
-func (s *state) clear(at time.Time) (changed, convicted bool) {
-	if !at.After(s.completedAt) {
-		return false, false
-	}
-	s.completedAt = at
-	s.completes = true
-	before := len(s.strikes)
-	s.strikes = s.strikes.since(at)
-	if !s.convicted || s.lastCrash.After(at) {
-		return before > len(s.strikes), false
-	}
-	s.convicted = false
-	s.failedTrials = 0
-	s.trialAt = time.Time{}
-	return true, true
-}
-
 // Crashed records a crash that this process detected. It returns the strikes to report to other processes, and the
 // candidates that these strikes convict.
 func (b *Blame) Crashed(now time.Time, d DetectedCrash) ([]CandidateStrike, []Change) {
@@ -402,20 +276,6 @@
 	return ok && e.by != c && (e.by.kind == CandidatePart || c.kind == CandidateRequest) && e.strike.sameCrash(s)
 }
 
-// strike adds a strike.
-func (s *state) strike(now time.Time, added Strike) {
-	if !s.convicted {
-		s.strikes = slices.DeleteFunc(s.strikes, func(one Strike) bool { return now.Sub(one.LostAt) > suspicionTTL })
-	}
-	s.strikes = s.strikes.with(added)
-	s.lastCrash = latest(s.lastCrash, added.LostAt)
-	if s.convicted && !s.trialAt.IsZero() && !added.SentAt.Before(s.trialAt) {
-		s.failedTrials = min(s.failedTrials+1, len(trialPauses)-1)
-		s.trialAt = time.Time{}
-		s.trial = 0
-	}
-}
-
 // required returns the number of strikes that convict a candidate. If a share of all responses ends in crashes, one that
 // crashes nothing collects n strikes in a row with the n-th power of that share.
 func (b *Blame) required(now time.Time, kind CandidateKind, completes bool) int {
@@ -432,120 +292,3 @@
 	n := math.Log(falseBlame) / math.Log(float64(crashed)/float64(began))
 	return max(least, int(min(float64(most), math.Ceil(n))))
 }
-
-// state returns the state of a candidate, and creates it if there is none.
-func (b *Blame) state(now time.Time, c Candidate) *state {
-	s, ok := b.states[c]
-	if !ok {
-		if len(b.states) >= maxCandidates {
-			b.evict(now)
-		}
-		s = &state{}
-		b.states[c] = s
-	}
-	return s
-}
-
-// evict removes the candidates that have expired, or else a quarter of all, convicted ones last.
-func (b *Blame) evict(now time.Time) {
-	order := make([]Candidate, 0, len(b.states))
-	for c, s := range b.states {
-		if s.expired(now) {
-			delete(b.states, c)
-			continue
-		}
-		order = append(order, c)
-	}
-	if len(b.states) < maxCandidates {
-		return
-	}
-	slices.SortFunc(order, func(x, y Candidate) int {
-		a, b := b.states[x], b.states[y]
-		return cmp.Or(cmp.Compare(a.rank(), b.rank()), a.newest().Compare(b.newest()), cmp.Compare(x.sum, y.sum))
-	})
-	for _, c := range order[:len(order)/4] {
-		delete(b.states, c)
-	}
-}
-
-// rank orders candidates by how much is lost if they are removed.
-func (s *state) rank() int {
-	switch {
-	case s.convicted:
-		return 2
-	case len(s.strikes) > 0:
-		return 1
-	}
-	return 0
-}
-
-// newest returns the time of the latest knowledge.
-func (s *state) newest() time.Time {
-	at := latest(s.completedAt, s.lastCrash)
-	if n := len(s.strikes); n > 0 {
-		at = latest(at, s.strikes[n-1].LostAt)
-	}
-	return at
-}
-
-func (s *state) expired(now time.Time) bool {
-	return !s.convicted && now.Sub(s.newest()) > clearedTTL
-}
-
-// Merge records a conviction that another process reports. It returns true if the candidate was cleared since, with the
-// time, so that the other process has to be notified, and a change if the candidate was not convicted before.
-func (b *Blame) Merge(now time.Time, r Conviction) (clearedAt time.Time, refuted bool, changes []Change) {
-	completed := b.completed.last(r.Candidate)
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	s := b.state(now, r.Candidate)
-	s.completedAt = latest(s.completedAt, completed)
-	if !r.LastCrash.After(s.completedAt) {
-		return s.completedAt, true, nil
-	}
-	s.lastCrash = latest(s.lastCrash, r.LastCrash)
-	s.failedTrials = max(s.failedTrials, min(max(0, r.FailedTrials), len(trialPauses)-1))
-	if !s.convicted {
-		s.convicted = true
-		changes = append(changes, Change{
-			Candidate: r.Candidate,
-			Crashes:   s.strikes.crashIDs(),
-		})
-	}
-	return time.Time{}, false, changes
-}
-
-// Convictions returns the convicted candidates, latest crash first, at most n.
-func (b *Blame) Convictions(n int) []Conviction {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	var all []Conviction
-	for c, s := range b.states {
-		if s.convicted {
-			all = append(all, Conviction{
-				Candidate:    c,
-				LastCrash:    s.lastCrash,
-				FailedTrials: s.failedTrials,
-			})
-		}
-	}
-	slices.SortFunc(all, func(x, y Conviction) int {
-		return cmp.Or(y.LastCrash.Compare(x.LastCrash), cmp.Compare(x.Candidate.sum, y.Candidate.sum))
-	})
-	return all[:min(n, len(all))]
-}
-
-// Counts returns the numbers of suspected and of convicted candidates.
-func (b *Blame) Counts(now time.Time) (suspected, convicted int) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	for _, s := range b.states {
-		switch {
-		case s.convicted:
-			convicted++
-		case len(s.strikes) > 0 && now.Sub(s.newest()) <= suspicionTTL:
-			suspected++
-		}
-	}
-	return suspected, convicted
-}
