--- a/engine.go
+++ b/engine.go
@@ -14,6 +14,8 @@
 	ErrEngineUnreachable = eris.New("engine unreachable")
 	// ErrEngineLost means that the connection broke after part of the request was sent.
 	ErrEngineLost = eris.New("engine connection lost")
+	// ErrEventTruncated means that a stream ended inside an event.
+	ErrEventTruncated = eris.New("stream ended inside an event")
 	// ErrEngineRefused means that the engine rejected the request without running it.
 	ErrEngineRefused = eris.New("engine refused the request")
 	// ErrMisdirected means that the address belongs to another target, or that the target has another role.
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -211,7 +211,7 @@
 	}
 	x.updateCache(s)
 	if s.refusal == nil && reply.Events != nil {
-		s = x.firstEvent(s)
+		s = x.firstEvent(chosen, s)
 	}
 	x.recordAttempt(chosen, s)
 	return chosen, s
@@ -280,12 +280,13 @@
 }
 
 // firstEvent waits for the first event of a stream.
-func (x *exchange) firstEvent(s sendResult) sendResult {
+func (x *exchange) firstEvent(chosen selection, s sendResult) sendResult {
 	event, err := s.reply.Events.Next()
 	if err == nil {
 		s.first = event
 		return s
 	}
+	x.recordStreamEnd(chosen, s, 0, "", err)
 	if errors.Is(err, io.EOF) {
 		err = waxwingpick.ErrEngineLost
 	}
--- a/internal/gateway/decisions.go
+++ b/internal/gateway/decisions.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"errors"
+	"io"
 	"time"
 
 	"waxwingpick"
@@ -123,6 +125,31 @@
 	x.trail.AddNotable(waxwingpick.ActionAttempt.Of(now, string(s.refusal.Reason), append(inputs, waxwingpick.In("outcome", s.refusal.Outcome))...))
 }
 
+// recordStreamEnd records how the stream of an attempt ended after a number of events.
+func (x *exchange) recordStreamEnd(c selection, s sendResult, events int, lastID string, err error) {
+	end := prometheus.StreamEndInterrupted
+	switch {
+	case errors.Is(err, io.EOF) && events == 0:
+		end = prometheus.StreamEndEmpty
+	case errors.Is(err, io.EOF):
+		end = prometheus.StreamEndRegular
+	case errors.Is(err, waxwingpick.ErrEventTruncated):
+		end = prometheus.StreamEndInsideEvent
+	}
+	x.process.options.Metrics.StreamEnd(s.reply.Framing, end)
+	d := waxwingpick.ActionAttempt.Of(x.process.timers.Now(), "streamEnded",
+		waxwingpick.In("target", c.target.ID),
+		waxwingpick.In("framing", s.reply.Framing.String()),
+		waxwingpick.In("end", end),
+		waxwingpick.In("events", events),
+		waxwingpick.In("lastEvent", lastID))
+	if end == prometheus.StreamEndRegular {
+		x.trail.Add(d)
+		return
+	}
+	x.trail.AddNotable(d)
+}
+
 // recordRetry records whether the request is retried.
 func (x *exchange) recordRetry(now time.Time, refusal *waxwingpick.Refusal, verdict retry.Verdict) {
 	outcome := "refused"
--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -14,9 +14,11 @@
 	x       *exchange
 	chosen  selection
 	attempt sendResult
-	// rest holds the unread bytes of the current event, and lastID the ID of the last event received.
+	// rest holds the unread bytes of the current event, and lastID the ID of the last event received. events counts the
+	// events of the current attempt.
 	rest   []byte
 	lastID string
+	events int
 	endErr error
 	once   sync.Once
 }
@@ -28,6 +30,7 @@
 		attempt: s,
 		rest:    s.first.Bytes,
 		lastID:  s.first.ID,
+		events:  1,
 	}
 }
 
@@ -47,9 +50,13 @@
 // next receives the next event, or the end of the stream.
 func (r *relay) next() {
 	event, err := r.attempt.reply.Events.Next()
+	if err != nil {
+		r.x.recordStreamEnd(r.chosen, r.attempt, r.events, r.lastID, err)
+	}
 	switch {
 	case err == nil:
 		r.rest = event.Bytes
+		r.events++
 		if event.ID != "" {
 			r.lastID = event.ID
 		}
@@ -86,6 +93,7 @@
 			x.service.streamStarted(x.process.timers.Now(), r.chosen)
 			r.rest = r.attempt.first.Bytes
 			r.lastID = r.attempt.first.ID
+			r.events = 1
 			return true
 		}
 	}
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -16,6 +16,9 @@
 	"waxwingpick"
 )
 
+// chunkedLength is fasthttp's content length of a body in chunks.
+const chunkedLength = -1
+
 // Response is one response. Close must be called on every path. Interrupt may be called from any goroutine, all other
 // methods from one goroutine at a time.
 type Response struct {
@@ -38,6 +41,19 @@
 	return a.resp.StatusCode()
 }
 
+// Framing returns how the peer stated where a streamed body ends.
+func (a *Response) Framing() waxwingpick.Framing {
+	switch n := a.resp.Header.ContentLength(); {
+	case !a.resp.IsBodyStream():
+		return waxwingpick.FramingUnknown
+	case n >= 0:
+		return waxwingpick.FramingLength
+	case n == chunkedLength:
+		return waxwingpick.FramingChunks
+	}
+	return waxwingpick.FramingConnection
+}
+
 // Header returns a copy of the first field with the name.
 func (a *Response) Header(name string) string {
 	return string(a.resp.Header.Peek(name))
--- a/io/prometheus/gateway.go
+++ b/io/prometheus/gateway.go
@@ -24,6 +24,7 @@
 	refused    *client.CounterVec
 	retries    *client.CounterVec
 	attempts   *client.CounterVec
+	streamEnds *client.CounterVec
 	running    client.Gauge
 	version    client.Gauge
 	peers      client.Gauge
@@ -50,6 +51,7 @@
 		refused:    counter("gateway_refused_total", "Refused requests.", "outcome", "reason"),
 		retries:    counter("gateway_retries_total", "Attempts after the first one, by the reason of the one before.", "reason"),
 		attempts:   counter("gateway_attempts_total", "Sendings to targets by how they ended.", "service", "result"),
+		streamEnds: counter("gateway_stream_ends_total", "Streams of targets by how they state their end and how they ended.", "framing", "end"),
 		running:    unlabeledGauge("gateway_running", "Requests that run."),
 		version:    unlabeledGauge("gateway_routes_version", "Version of the configuration in force."),
 		peers:      unlabeledGauge("gateway_peers", "Other gateways that load is told to."),
@@ -73,7 +75,7 @@
 	for _, c := range []client.Collector{
 		g.requests, g.responses, g.firstEvent, g.refused, g.retries, g.attempts, g.running, g.version, g.peers, g.sharing,
 		g.feedReads, g.feedAge, g.reportAge, g.targets, g.statements, g.stated, g.crashes, g.inFlight,
-		g.verdicts, g.suspects,
+		g.verdicts, g.suspects, g.streamEnds,
 	} {
 		if err := g.registry.Register(c); err != nil {
 			return nil, fmt.Errorf("register metrics: %w", err)
@@ -130,6 +132,11 @@
 	g.attempts.WithLabelValues(g.services.label(string(service)), result).Inc()
 }
 
+// StreamEnd counts the end of a target's stream.
+func (g *Gateway) StreamEnd(framing waxwingpick.Framing, end StreamEnd) {
+	g.streamEnds.WithLabelValues(framing.String(), string(end)).Inc()
+}
+
 // Version sets the version of the active configuration.
 func (g *Gateway) Version(version int64) {
 	g.version.Set(float64(version))
--- a/io/prometheus/labels.go
+++ b/io/prometheus/labels.go
@@ -26,6 +26,17 @@
 	ResultCallerLeft Result = "callerLeft"
 )
 
+// StreamEnd is how the stream of a target ended.
+type StreamEnd string
+
+// The ends of streams. StreamEndRegular is the only one that counts as complete.
+const (
+	StreamEndRegular     StreamEnd = "regular"
+	StreamEndEmpty       StreamEnd = "empty"
+	StreamEndInsideEvent StreamEnd = "insideEvent"
+	StreamEndInterrupted StreamEnd = "interrupted"
+)
+
 // QuotaResult is the result of a request for a part of the rate of a workspace.
 type QuotaResult string
 
--- a/target.go
+++ b/target.go
@@ -54,6 +54,8 @@
 type Dispatched struct {
 	Status  int
 	Headers []Header
+	// Framing is how the target stated where a streamed body ends.
+	Framing Framing
 	Body    []byte
 	// Events is the body of a streamed response; nil for a complete one.
 	Events RawEvents
