--- a/internal/daemon/gateway_test.go
+++ b/internal/daemon/gateway_test.go
@@ -341,6 +341,47 @@
 	require.Len(t, s.runs(), 1)
 }
 
+// TestStreamThatEndsInsideAnEventDoesNotLookComplete breaks streams off by closing their connection in order. A response
+// without length and chunks states no other end, and one with chunks may lack its last one.
+func TestStreamThatEndsInsideAnEventDoesNotLookComplete(t *testing.T) {
+	t.Parallel()
+	const first = "id: 1\ndata: piece 1\n\n"
+	// The line fills the read buffer of a stream.
+	long := "id: 2\ndata: " + strings.Repeat("x", 4096-len("data: ")) + "\n"
+	head := func(fields ...string) string {
+		return "HTTP/1.1 200 OK\r\n" + strings.Join(append(fields, "", ""), "\r\n")
+	}
+	const stream = "Content-Type: text/event-stream"
+	chunk := func(s string) string {
+		return fmt.Sprintf("%x\r\n%s\r\n", len(s), s)
+	}
+	tests := map[string]string{
+		"connection":                    head(stream) + first + "id: 2\ndata: half of",
+		"connection, line ended":        head(stream) + first + "id: 2\ndata: piece 2\n",
+		"connection, long line ended":   head(stream) + first + long,
+		"connection, other letter case": head("Content-Type: Text/Event-Stream") + first + "id: 2\ndata: half of",
+		"chunks":                        head(stream, "Transfer-Encoding: chunked") + chunk(first) + chunk("id: 2\ndata: half of"),
+		"chunks, between events":        head(stream, "Transfer-Encoding: chunked") + chunk(first),
+		"chunks, last chunk":            head(stream, "Transfer-Encoding: chunked") + chunk(first) + chunk(long) + "0\r\n\r\n",
+		"length":                        head(stream, "Content-Length: 200") + first + "id: 2\ndata: half of",
+		"length, between events":        head(stream, "Content-Length: 200") + first,
+	}
+	for name, raw := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startTestGateway(t)
+			setFaults(target.Faults{
+				Raw: raw,
+			}, s.engines[:2]...)
+			status, body, complete := s.read(s.send("id", "/long/a", "", "Waxwingpick-Token-Counts", "500,10"))
+			require.Equal(t, http.StatusOK, status)
+			require.False(t, complete, "%.200q", body)
+			require.Equal(t, first, body, "only complete events")
+			require.Len(t, s.runs(), 1)
+		})
+	}
+}
+
 func TestOrderRunsOnceAndItsRefusalIsTrue(t *testing.T) {
 	t.Parallel()
 	s := startTestGateway(t)
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -49,6 +50,9 @@
 	Status int
 	// BreakAfter closes the connection of each stream in the middle of the event after that many, if not zero.
 	BreakAfter int
+	// Raw is written as it is in response to each request that runs, and the connection is closed in order then, unless it is
+	// empty.
+	Raw string
 	// ResponseDelay delays every response.
 	ResponseDelay time.Duration
 	// RequestLimit is the request limit that every response states, unless empty.
@@ -226,6 +230,13 @@
 		t.Crash()
 		return c.SendStatus(http.StatusServiceUnavailable)
 	}
+	if faults.Raw != "" {
+		c.RequestCtx().HijackSetNoResponse(true)
+		c.RequestCtx().Hijack(func(conn net.Conn) {
+			_, _ = io.WriteString(conn, faults.Raw)
+		})
+		return nil
+	}
 	c.Set("Waxwingpick-Server-Stamp", "stamp-of-"+t.id)
 	c.Set("Waxwingpick-Instance-Load", "1,0,"+strconv.Itoa(t.slots))
 	if faults.Status != 0 {
