--- /dev/null
+++ b/io/engine/ends_test.go
@@ -0,0 +1,76 @@
+package engine_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"waxwingpick"
+	"waxwingpick/internal/loopback"
+	"waxwingpick/io/engine"
+)
+
+// TestGenerationIsCompleteOnlyAfterItsLastEvent cuts a generation at every byte by closing the connection in order. A response
+// without length and chunks ends with its connection, and only its last event tells that it is complete.
+func TestGenerationIsCompleteOnlyAfterItsLastEvent(t *testing.T) {
+	t.Parallel()
+	const events = "id: 0\ndata: {\"n\":1}\n\nid: 1\ndata: {\"n\":2}\n\nid: 2\ndata: [DONE]\n\n"
+	want := []string{`{"n":1}`, `{"n":2}`}
+	for cut := range len(events) + 1 {
+		t.Run(fmt.Sprint(cut), func(t *testing.T) {
+			t.Parallel()
+			got, err := generate(t, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"+events[:cut])
+			require.Equal(t, cut == len(events), err == nil, "%q, %v", got, err)
+			require.Equal(t, want[:len(got)], got, "whole events only")
+		})
+	}
+}
+
+// generate returns the data of the events of a generation whose engine writes raw bytes and closes the connection, and an
+// error unless it is complete.
+func generate(t *testing.T, raw string) ([]string, error) {
+	t.Helper()
+	ln, err := net.Listen("tcp", loopback.AnyPort())
+	require.NoError(t, err)
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+			_, _ = io.WriteString(c, raw)
+		}
+	}()
+	client, err := engine.New(ln.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(client.Close)
+	stream, err := client.Generate(t.Context(), waxwingpick.GenerateRequest{
+		StreamID: "id",
+		Path:     completions,
+		Body:     []byte("{}"),
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer stream.Close()
+	got := []string{}
+	for {
+		event, err := stream.Next()
+		switch {
+		case errors.Is(err, io.EOF):
+			return got, nil
+		case err != nil:
+			return got, err
+		case !event.Last:
+			got = append(got, string(event.Data))
+		}
+	}
+}
