--- a/internal/daemon/gateway_test.go
+++ b/internal/daemon/gateway_test.go
@@ -382,6 +382,61 @@
 	}
 }
 
+// TestErrorOfTheNextTargetIsNoPartOfAStream breaks a stream off after its first event, and has the target at which it is
+// resumed answer with something else than the rest of the stream. The caller must not find that in its stream, and the stream
+// must not look complete.
+func TestErrorOfTheNextTargetIsNoPartOfAStream(t *testing.T) {
+	t.Parallel()
+	const (
+		first = "id: 1\ndata: piece 1\n\n"
+		html  = "<html>error text</html>"
+		event = "id: 2\ndata: error text\n\n"
+	)
+	plain := func(status, contentType, body string) string {
+		return fmt.Sprintf("HTTP/1.1 %s\r\nContent-Type: %s\r\nContent-Length: %d\r\n\r\n%s", status, contentType, len(body), body)
+	}
+	tests := map[string]string{
+		"server error":              plain("500 Internal Server Error", "text/html", html),
+		"server error as a stream":  plain("500 Internal Server Error", "text/event-stream", event),
+		"bad gateway without end":   "HTTP/1.1 502 Bad Gateway\r\nContent-Type: text/event-stream\r\n\r\n" + event,
+		"not found":                 plain("404 Not Found", "text/plain", html),
+		"too many requests":         plain("429 Too Many Requests", "text/event-stream", event),
+		"unavailable":               plain("503 Service Unavailable", "text/plain", html),
+		"other media type":          plain("200 OK", "text/html", html),
+		"no content":                "HTTP/1.1 204 No Content\r\n\r\n",
+		"partial content":           plain("206 Partial Content", "text/event-stream", event),
+		"redirect":                  "HTTP/1.1 302 Found\r\nLocation: http://a.example/\r\nContent-Length: 0\r\n\r\n",
+		"no event":                  "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n",
+		"half an event":             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 2\ndata: error text\n",
+		"no HTTP":                   html,
+		"half a head":               "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/event-stream\r\n",
+		"two heads":                 "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n" + plain("200 OK", "text/event-stream", event),
+		"stream from its beginning": plain("200 OK", "text/event-stream", first+event),
+	}
+	for name, raw := range tests {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startTestGateway(t)
+			for i, e := range s.engines[:2] {
+				other := s.engines[1-i]
+				e.SetFaults(target.Faults{
+					BreakAfter: 1,
+					AfterRun: func() {
+						other.SetFaults(target.Faults{
+							Raw: raw,
+						})
+					},
+				})
+			}
+			status, body, complete := s.read(s.send("id", "/quick/a", "", "Waxwingpick-Token-Counts", "500,10"))
+			require.Equal(t, http.StatusOK, status)
+			require.False(t, complete, "%q", body)
+			require.Equal(t, first, body)
+			require.Len(t, s.runs(), 2)
+		})
+	}
+}
+
 func TestOrderRunsOnceAndItsRefusalIsTrue(t *testing.T) {
 	t.Parallel()
 	s := startTestGateway(t)
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -53,6 +53,8 @@
 	// Raw is written as it is in response to each request that runs, and the connection is closed in order then, unless it is
 	// empty.
 	Raw string
+	// AfterRun is called when a run has begun, unless it is nil.
+	AfterRun func()
 	// ResponseDelay delays every response.
 	ResponseDelay time.Duration
 	// RequestLimit is the request limit that every response states, unless empty.
@@ -225,6 +227,9 @@
 		return c.SendStatus(http.StatusServiceUnavailable)
 	}
 	t.recordRun(c)
+	if faults.AfterRun != nil {
+		faults.AfterRun()
+	}
 	crashes := faults.crashesOn(c.Get("Waxwingpick-Prompt-Prefix"))
 	if faults.CrashOn != "" && string(c.Body()) == faults.CrashOn || crashes && faults.CrashAfter == 0 {
 		t.Crash()
