gateway: a resumed stream has to continue after the last event that its caller has

What callers saw: a target that ignores where a stream broke off sends it from its beginning, and the caller gets its events twice.

Cause: the first event of the next target was forwarded unseen. Its ID is compared with the last one now; an attempt that does not continue counts as failed and is retried or ends the stream as incomplete. An event without ID no longer clears the last ID, without which a stream that breaks again is not resumed.

--- a/internal/gateway/relay.go
+++ b/internal/gateway/relay.go
@@ -1,13 +1,21 @@
 package gateway
 
 import (
+	"cmp"
 	"errors"
+	"fmt"
 	"io"
+	"strconv"
 	"sync"
 
+	"github.com/rotisserie/eris"
+
 	"waxwingpick"
 )
 
+// errNotResumed means that a target did not begin a resumed stream after the last event that its caller has.
+var errNotResumed = eris.New("stream does not continue where it broke off")
+
 // relay forwards the events of a stream as they arrive. A stream that breaks is resumed at another target if its route
 // allows that. Otherwise its reader gets an error, so that the response does not look complete.
 type relay struct {
@@ -89,16 +97,39 @@
 		}
 		x.in.ResumeAfter = r.lastID
 		r.chosen, r.attempt = x.send(chosen)
-		if r.attempt.refusal == nil && r.attempt.reply.Events != nil {
+		if r.attempt.refusal == nil && r.attempt.reply.Events != nil && r.continues() {
 			x.service.streamStarted(x.process.timers.Now(), r.chosen)
 			r.rest = r.attempt.first.Bytes
-			r.lastID = r.attempt.first.ID
+			r.lastID = cmp.Or(r.attempt.first.ID, r.lastID)
 			r.events = 1
 			return true
 		}
 	}
 }
 
+// continues reports whether the stream of the attempt begins after the last event that the caller received. If not, the
+// attempt counts as failed.
+func (r *relay) continues() bool {
+	if eventFollows(r.attempt.first.ID, r.lastID) {
+		return true
+	}
+	r.attempt.err = fmt.Errorf("%w: %w: event %q after event %q", waxwingpick.ErrEngineLost, errNotResumed, r.attempt.first.ID, r.lastID)
+	r.attempt.refusal = waxwingpick.Unknown(waxwingpick.ReasonTargetLost, "stream not resumed after its last event")
+	r.x.recordAttempt(r.chosen, r.attempt)
+	return false
+}
+
+// eventFollows reports whether an event may come after the last one of a stream. IDs increase; one that is absent or is not a
+// number can only be compared for equality.
+func eventFollows(id, last string) bool {
+	next, errNext := strconv.ParseUint(id, 10, 64)
+	previous, errPrevious := strconv.ParseUint(last, 10, 64)
+	if errNext != nil || errPrevious != nil {
+		return id != last
+	}
+	return next > previous
+}
+
 // Close ends the stream. The caller may have disconnected before its end.
 func (r *relay) Close() error {
 	r.once.Do(func() {
