--- a/internal/daemon/gateway_test.go
+++ b/internal/daemon/gateway_test.go
@@ -437,6 +437,47 @@
 	}
 }
 
+// TestOddTargetEntriesDoNotStopTheList has another writer leave entries that name no target, before the start and later. The
+// gateway must use none of them, and has to follow what targets write afterwards.
+func TestOddTargetEntriesDoNotStopTheList(t *testing.T) {
+	t.Parallel()
+	odd := []string{
+		strings.Repeat("[", 700_000),
+		strings.Repeat(`{"service":`, 60_000),
+		`{"service":"app","address":"127.0.0.1:70000","slots":6,"state":"ready"}`,
+		`{"service":"llm","address":"127.0.0.1:99999999999999999999","slots":6,"state":"ready","stage":"decode"}`,
+		`{"service":"app","address":"127.0.0.1:80","slots":9223372036854775807,"state":"ready"}`,
+		`{"service":"llm","address":"127.0.0.1:80","slots":1e999,"state":"ready","stage":"decode"}`,
+		`{"service":"llm","address":"127.0.0.1:80","slots":` + strings.Repeat("9", 500_000) + `,"state":"ready"}`,
+		`{"service":"app","address":"127.0.0.1:80","slots":6,"state":"ready","born":1e999}`,
+	}
+	s := newTestGateway(t)
+	put := func(round string) {
+		for i, value := range odd {
+			require.NoError(t, s.store.PutRaw(t.Context(), fmt.Sprintf("servers/odd%d%s", i, round), []byte(value)))
+		}
+	}
+	put("a")
+	s.start()
+	t.Cleanup(s.stop)
+	for _, round := range []string{"b", "c"} {
+		put(round)
+		added := s.add("app"+round, "", "app")
+		s.services = append(s.services, added)
+		s.awaitMetric(s.boot, fmt.Sprintf("waxwingpick_gateway_targets{service=\"app\",state=\"ready\"} %d\n", len(s.services)))
+		require.True(t, s.hasMetric(s.boot, fmt.Sprintf("waxwingpick_gateway_targets{service=\"llm\",state=\"ready\"} %d\n", len(s.engines))))
+		for i := range 8 {
+			status, _, complete := s.read(s.send(fmt.Sprint("order", round, i), "/order/1", ""))
+			require.Equal(t, http.StatusOK, status)
+			require.True(t, complete)
+			status, body, _ := s.read(s.send(fmt.Sprint("stream", round, i), "/long/1", ""))
+			require.Equal(t, http.StatusOK, status)
+			require.Equal(t, completeStream(), body)
+		}
+		require.NotEmpty(t, added.Runs())
+	}
+}
+
 func TestOrderRunsOnceAndItsRefusalIsTrue(t *testing.T) {
 	t.Parallel()
 	s := startTestGateway(t)
--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -73,8 +73,13 @@
 	if err != nil {
 		return fmt.Errorf("encode %s: %w", key, err)
 	}
+	return s.PutRaw(ctx, key, encoded)
+}
+
+// PutRaw writes any bytes as the value of a key unconditionally.
+func (s *Server) PutRaw(ctx context.Context, key string, value []byte) error {
 	before, _ := s.store.Peek(key)
-	if _, err := s.kv.CompareAndSwap(ctx, key, before.Revision, encoded, 0); err != nil {
+	if _, err := s.kv.CompareAndSwap(ctx, key, before.Revision, value, 0); err != nil {
 		return fmt.Errorf("put %s: %w", key, err)
 	}
 	return nil
