io/platform: an odd row of the platform's list costs only itself

One row with a number out of range, a value of another type or a deeply nested one failed the decoding of the whole list, so that processes kept the list as it was until the row was gone. Rows are told apart before they are decoded; rows without a usable ID or address are skipped and logged.

--- a/internal/daemon/command.go
+++ b/internal/daemon/command.go
@@ -74,7 +74,8 @@
 	if err != nil {
 		return err
 	}
-	deps, err := connect(s.addresses())
+	keyValueAddr, platformAddr := s.addresses()
+	deps, err := connect(keyValueAddr, platformAddr, lines.Logger())
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/dependencies.go
+++ b/internal/daemon/dependencies.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 
+	"github.com/sirupsen/logrus"
+
 	"waxwingpick/core/timer"
 	"waxwingpick/io/etcd"
 	"waxwingpick/io/mtls"
@@ -29,14 +31,16 @@
 }
 
 // connect creates the clients without sending any request.
-func connect(keyValueAddr, platformAddr string) (*dependencies, error) {
+func connect(keyValueAddr, platformAddr string, log logrus.FieldLogger) (*dependencies, error) {
 	timers := timer.NewSystem()
 	kv, err := etcd.New(keyValueAddr, etcd.WithTimers(timers))
 	if err != nil {
 		timers.Close()
 		return nil, fmt.Errorf("create key-value client: %w", err)
 	}
-	platformClient, err := platform.New(platformAddr)
+	platformClient, err := platform.New(platformAddr, platform.Skipped(func(err error) {
+		log.WithError(err).Warn("invalid row of the platform's list skipped")
+	}))
 	if err != nil {
 		kv.Close()
 		timers.Close()
--- a/internal/operator/env.go
+++ b/internal/operator/env.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"fmt"
 	"io"
 	"os"
 	"time"
@@ -52,7 +53,9 @@
 }
 
 func dialPlatform(addr string) (waxwingpick.Platform, error) {
-	return platform.New(addr)
+	return platform.New(addr, platform.Skipped(func(err error) {
+		fmt.Fprintln(os.Stderr, "waxwingpick: skipped:", err)
+	}))
 }
 
 // operatorName returns the operator's name from the environment, or "unknown" if it is not set.
--- a/io/platform/client.go
+++ b/io/platform/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"time"
@@ -26,6 +25,7 @@
 
 type settings struct {
 	timeout time.Duration
+	skipped func(err error)
 }
 
 // Option configures a client.
@@ -38,6 +38,14 @@
 	})
 }
 
+// Skipped sets a function that is called for each row that names no usable instance.
+func Skipped(skipped func(err error)) Option {
+	return func(s *settings) error {
+		s.skipped = skipped
+		return nil
+	}
+}
+
 // Client reads the list of one platform.
 type Client struct {
 	cfg  settings
@@ -49,6 +57,7 @@
 	c := &Client{
 		cfg: settings{
 			timeout: defaultTimeout,
+			skipped: func(error) {},
 		},
 		http: http1.New(addr, maxListBytes),
 	}
@@ -81,8 +90,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
-	var list []waxwingpick.Instance
-	if err := json.Unmarshal(body, &list); err != nil {
+	list, err := decodeList(body, c.cfg.skipped)
+	if err != nil {
 		return nil, fmt.Errorf("%w: decode: %w", ErrUnavailable, err)
 	}
 	return list, nil
