internal/http1: a response that does not name its request is no answer on a used connection

What can happen here: a target that writes an earlier refusal once more on a kept connection, without the ID of its request, makes the gateway tell the caller of a later request that it has not run; an order was sent to a second target. With the earlier ID the copy is discarded (ruled out by the rows that passed before).

Cause: a response without the echo field was accepted from any connection. It is now accepted only from a connection that had no exchange before, which is not used again then. On a used connection the outcome is unknown; waiting for a further response could wait for one that never comes.

TestEarlierRefusalIsNotTakenForAnAnswer (all rows without ID) and 12 of 18 rows of TestEarlierRefusalIsNotTheAnswerToALaterRequest (whole path) failed before.

--- a/internal/daemon/gateway_test.go
+++ b/internal/daemon/gateway_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
 
 	"waxwingpick"
@@ -478,6 +479,47 @@
 	}
 }
 
+// TestEarlierRefusalIsNotTheAnswerToALaterRequest has targets write an earlier refusal once more on a kept connection while they
+// run a later request. Its caller must not be told that it has not run, and an order must not run at a second target.
+func TestEarlierRefusalIsNotTheAnswerToALaterRequest(t *testing.T) {
+	t.Parallel()
+	const notRun = "Waxwingpick-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	const earlier = "Waxwingpick-Request-Id: first\r\n"
+	for name, copied := range map[string]string{
+		"unavailable":                "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n" + earlier + notRun,
+		"unavailable without ID":     "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\n" + notRun,
+		"too many without ID":        "HTTP/1.1 429 Too Many Requests\r\n" + notRun,
+		"misdirected without ID":     "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n",
+		"misdirected":                "HTTP/1.1 421 Misdirected Request\r\n" + earlier + "Content-Length: 0\r\n\r\n",
+		"request timeout without ID": "HTTP/1.1 408 Request Timeout\r\n" + notRun,
+	} {
+		for _, path := range []string{"/order/1", "/read/1", "/long/1"} {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				s := startTestGateway(t)
+				targets := append(append([]*target.Target(nil), s.engines[:2]...), s.services...)
+				var warm conc.WaitGroup
+				for i := range 8 {
+					warm.Go(func() {
+						_, _, complete := s.read(s.send(fmt.Sprint("first", i), path, "", "Waxwingpick-Token-Counts", "500,10"))
+						require.True(t, complete)
+					})
+				}
+				warm.Wait()
+				before := len(s.runs())
+				setFaults(target.Faults{
+					WriteFirst: copied,
+				}, targets...)
+				status, _, _ := s.read(s.send("second", path, "", "Waxwingpick-Token-Counts", "500,10"))
+				require.Contains(t, []int{http.StatusOK, http.StatusBadGateway}, status)
+				if path != "/read/1" {
+					require.Len(t, s.runs(), before+1)
+				}
+			})
+		}
+	}
+}
+
 func TestOrderRunsOnceAndItsRefusalIsTrue(t *testing.T) {
 	t.Parallel()
 	s := startTestGateway(t)
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -42,6 +42,8 @@
 	received int64
 	// sent is the number of bytes of the current request that were written.
 	sent int
+	// used is set once an exchange has ended.
+	used bool
 	// idleSince is when the previous exchange ended.
 	idleSince time.Time
 	// idleFor is how long the connection may stay idle before reuse.
--- a/internal/http1/foreign_test.go
+++ b/internal/http1/foreign_test.go
@@ -180,3 +180,44 @@
 	close(release)
 	require.NoError(t, <-done)
 }
+
+// TestEarlierRefusalIsNotTakenForAnAnswer has the peer write an earlier refusal once more, when it has received the next request
+// of a kept connection. The copy must not tell the caller that its request has not run.
+func TestEarlierRefusalIsNotTakenForAnAnswer(t *testing.T) {
+	t.Parallel()
+	for name, copied := range map[string]string{
+		"ID of the earlier request": "HTTP/1.1 503 Service Unavailable\r\nId: 0\r\nContent-Length: 4\r\n\r\nfull",
+		"ID in lower case":          "HTTP/1.1 503 Service Unavailable\r\nid: 0\r\nContent-Length: 4\r\n\r\nfull",
+		"no ID":                     "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 4\r\n\r\nfull",
+		"empty ID":                  "HTTP/1.1 503 Service Unavailable\r\nId:\r\nContent-Length: 4\r\n\r\nfull",
+		"no ID, no body":            "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n",
+		"no ID, chunks":             "HTTP/1.1 421 Misdirected Request\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nfull\r\n0\r\n\r\n",
+	} {
+		for _, identified := range []bool{true, false} {
+			for _, stream := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s/%t/%t", name, identified, stream), func(t *testing.T) {
+					t.Parallel()
+					addr, _ := startResponder(t, func(n int, id string) string {
+						switch {
+						case n > 1:
+							return copied + responseTo(id, "own", "")
+						case identified:
+							return responseTo(id, "own", "")
+						}
+						return "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nown"
+					})
+					c := http1.New(addr, 1<<20)
+					defer c.Close()
+					for i := range 4 {
+						body, err := sendWithEcho(t, c, fmt.Sprint(i), stream)
+						if err != nil {
+							require.ErrorIs(t, err, waxwingpick.ErrEngineLost)
+							continue
+						}
+						require.Equal(t, "own", body)
+					}
+				})
+			}
+		}
+	}
+}
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -27,6 +27,7 @@
 	req           *fasthttp.Request
 	resp          *fasthttp.Response
 	stopInterrupt func() bool
+	origin        origin
 	// complete is set once the body was read to its end.
 	complete bool
 
@@ -126,13 +127,27 @@
 	_ = a.conn.SetReadDeadline(time.Now().Add(d))
 }
 
-// matches reports whether the response carries the request's echo value, or no echo field at all.
-func (a *Response) matches(echo Field) bool {
-	if echo.Name == "" {
-		return true
+// origin is what a response says of the request to which it belongs.
+type origin uint8
+
+const (
+	// originUnknown means that the response does not name its request, although the peer was to repeat the echo field.
+	originUnknown origin = iota
+	originOwn
+	originForeign
+)
+
+// originOf compares the response with the request's echo field. Peers without such a field send only own responses.
+func (a *Response) originOf(echo Field) origin {
+	switch named := a.resp.Header.Peek(echo.Name); {
+	case echo.Name == "":
+		return originOwn
+	case len(named) == 0:
+		return originUnknown
+	case string(named) != echo.Value:
+		return originForeign
 	}
-	named := a.resp.Header.Peek(echo.Name)
-	return len(named) == 0 || string(named) == echo.Value
+	return originOwn
 }
 
 // discard reads a response to another request to its end.
@@ -180,7 +195,8 @@
 	if a.stopInterrupt != nil {
 		a.stopInterrupt()
 	}
-	reusable := a.complete && !a.interrupted && !a.resp.ConnectionClose()
+	// A copy of a response that does not name its request could not be told from the answer to a later one.
+	reusable := a.complete && !a.interrupted && !a.resp.ConnectionClose() && a.origin == originOwn
 	reusableFor := a.reusableFor()
 	_ = a.resp.CloseBodyStream()
 	fasthttp.ReleaseResponse(a.resp)
@@ -188,6 +204,7 @@
 	switch {
 	case a.conn == nil:
 	case reusable:
+		a.conn.used = true
 		a.conn.idleFor = reusableFor
 		a.client.pool.put(a.conn, time.Now())
 	default:
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -53,6 +53,9 @@
 	// Raw is written as it is in response to each request that runs, and the connection is closed in order then, unless it is
 	// empty.
 	Raw string
+	// WriteFirst is written before each response on a connection that was used before, as a faulty target writes an earlier
+	// response again.
+	WriteFirst string
 	// AfterRun is called when a run has begun, unless it is nil.
 	AfterRun func()
 	// ResponseDelay delays every response.
@@ -227,6 +230,11 @@
 		return c.SendStatus(http.StatusServiceUnavailable)
 	}
 	t.recordRun(c)
+	if faults.WriteFirst != "" && c.RequestCtx().ConnRequestNum() > 1 {
+		if _, err := io.WriteString(c.RequestCtx().Conn(), faults.WriteFirst); err != nil {
+			return fmt.Errorf("write an earlier response: %w", err)
+		}
+	}
 	if faults.AfterRun != nil {
 		faults.AfterRun()
 	}
