--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -31,6 +31,7 @@
 type Client struct {
 	pool        pool
 	maxResponse int
+	singleUse   bool
 }
 
 // SecureFunc secures a new connection, for example by TLS. It closes the connection if that fails.
@@ -60,6 +61,13 @@
 	}
 }
 
+// SingleUse makes each request use a new connection, for peers whose responses do not name their requests.
+func SingleUse() Option {
+	return func(c *Client) {
+		c.singleUse = true
+	}
+}
+
 // New returns a client for the IP address and port. maxResponseBytes bounds responses that are not streamed.
 func New(addr string, maxResponseBytes int, opts ...Option) *Client {
 	c := &Client{
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -196,7 +196,7 @@
 		a.stopInterrupt()
 	}
 	// A copy of a response that does not name its request could not be told from the answer to a later one.
-	reusable := a.complete && !a.interrupted && !a.resp.ConnectionClose() && a.origin == originOwn
+	reusable := a.complete && !a.interrupted && !a.resp.ConnectionClose() && a.origin == originOwn && !a.client.singleUse
 	reusableFor := a.reusableFor()
 	_ = a.resp.CloseBodyStream()
 	fasthttp.ReleaseResponse(a.resp)
--- a/io/engine/client.go
+++ b/io/engine/client.go
@@ -48,7 +48,7 @@
 	if err := http1.Apply(&c.cfg, opts); err != nil {
 		return nil, fmt.Errorf("engine: %w", err)
 	}
-	c.http = http1.New(addr, c.cfg.maxResponse)
+	c.http = http1.New(addr, c.cfg.maxResponse, http1.SingleUse())
 	return c, nil
 }
 
--- a/io/engine/ends_test.go
+++ b/io/engine/ends_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -11,7 +10,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"waxwingpick"
 	"waxwingpick/internal/loopback"
 	"waxwingpick/io/engine"
 )
@@ -52,25 +50,5 @@
 	client, err := engine.New(ln.Addr().String())
 	require.NoError(t, err)
 	t.Cleanup(client.Close)
-	stream, err := client.Generate(t.Context(), waxwingpick.GenerateRequest{
-		StreamID: "id",
-		Path:     completions,
-		Body:     []byte("{}"),
-	})
-	if err != nil {
-		return nil, err
-	}
-	defer stream.Close()
-	got := []string{}
-	for {
-		event, err := stream.Next()
-		switch {
-		case errors.Is(err, io.EOF):
-			return got, nil
-		case err != nil:
-			return got, err
-		case !event.Last:
-			got = append(got, string(event.Data))
-		}
-	}
+	return generateOnce(t, client, "id")
 }
--- a/io/engine/stream.go
+++ b/io/engine/stream.go
@@ -9,7 +9,6 @@
 	"iter"
 	"strconv"
 	"sync"
-	"time"
 
 	"github.com/rotisserie/eris"
 	"github.com/tmaxmax/go-sse"
@@ -20,9 +19,6 @@
 const (
 	doneData = "[DONE]"
 	errorKey = `"error"`
-
-	// drainTimeout limits the wait for the end of the response body after the last event.
-	drainTimeout = 100 * time.Millisecond
 )
 
 var (
@@ -39,8 +35,6 @@
 	Stream() io.Reader
 	// Interrupt makes a running read fail.
 	Interrupt()
-	// SetReadTimeout sets a time limit for all further reads.
-	SetReadTimeout(d time.Duration)
 	Close()
 }
 
@@ -88,16 +82,13 @@
 	return event, nil
 }
 
-// Close releases the connection, which is reused only if the response was read to its end.
+// Close closes the connection.
 func (s *eventStream) Close() error {
 	if !s.mu.TryLock() {
 		s.resp.Interrupt()
 		s.mu.Lock()
 	}
 	defer s.mu.Unlock()
-	if s.err == nil && s.done {
-		s.drain()
-	}
 	if s.err == nil {
 		s.err = errClosed
 	}
@@ -106,16 +97,6 @@
 	return nil
 }
 
-// drain reads the rest of the response body after the last event, so that the connection can be reused.
-func (s *eventStream) drain() {
-	s.resp.SetReadTimeout(drainTimeout)
-	for {
-		if _, _, more := s.next(); !more {
-			return
-		}
-	}
-}
-
 func (s *eventStream) read() (waxwingpick.StreamEvent, error) {
 	var zero waxwingpick.StreamEvent
 	raw, err, more := s.next()
