core/suspect: a crash is counted once, by what detects it

waxwingpick_gateway_target_crashes_total counted a crash once more for each request found lost whose candidates were all cleared, and again after the reports of the crash had been sent: what counted was whether strikes were pending. Losses knows the crash and says now whether it detects it for the first time. TestCrashIsCountedOnce failed before (2 for one crash).

--- a/core/suspect/losses.go
+++ b/core/suspect/losses.go
@@ -35,6 +35,8 @@
 	updatedAt time.Time
 	// crashes counts the runs of the target that have ended under this ID.
 	crashes int
+	// detected means that the last of them was detected before.
+	detected bool
 }
 
 // Flight is a request in flight at a target.
@@ -56,6 +58,8 @@
 type DetectedCrash struct {
 	Crash    Crash
 	InFlight []Flight
+	// First means that this process detects the crash for the first time. It may find further requests in flight later.
+	First bool
 }
 
 // NewLosses returns a Losses without records.
@@ -76,6 +80,7 @@
 		// The target had started again.
 		current.downAt = time.Time{}
 		current.crashes++
+		current.detected = false
 	}
 	if !current.downAt.IsZero() && now.Sub(current.downAt) <= lossWindow {
 		return current.sighting(now, t, []Flight{f})
@@ -129,6 +134,8 @@
 }
 
 func (i *incarnation) sighting(now time.Time, t waxwingpick.Target, inFlight []Flight) waxwingpick.Option[DetectedCrash] {
+	first := !i.detected
+	i.detected = true
 	return waxwingpick.Some(DetectedCrash{
 		Crash: Crash{
 			ID:     incarnationID(t),
@@ -137,5 +144,6 @@
 			Number: i.crashes,
 		},
 		InFlight: inFlight,
+		First:    first,
 	})
 }
--- a/internal/gateway/blamelink.go
+++ b/internal/gateway/blamelink.go
@@ -92,20 +92,13 @@
 	trials  []pending[notice]
 }
 
-// addStrikes adds the strikes of one crash. It returns false if strikes of that crash are pending already.
-func (o *blameOutbox) addStrikes(strikes []suspect.CandidateStrike) bool {
+// addStrikes adds the strikes of one crash.
+func (o *blameOutbox) addStrikes(strikes []suspect.CandidateStrike) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	first := true
-	for _, s := range strikes {
-		first = first && !slices.ContainsFunc(o.strikes, func(p pending[suspect.CandidateStrike]) bool {
-			return p.report.Strike.CrashID == s.Strike.CrashID && p.report.Strike.Number == s.Strike.Number
-		})
-	}
 	for _, s := range strikes {
 		o.strikes = push(o.strikes, s, maxPendingStrikes)
 	}
-	return first
 }
 
 func (o *blameOutbox) addCleared(at time.Time, c suspect.Candidate) {
--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -144,9 +144,8 @@
 		"suspects": len(strikes),
 	}).Warn("target crashed with requests in flight")
 	c.logConvicted(changes, "crash")
-	first := true
-	c.publish(now, func(o *blameOutbox) { first = o.addStrikes(strikes) })
-	c.process.options.Metrics.TargetCrash(first, len(d.InFlight))
+	c.publish(now, func(o *blameOutbox) { o.addStrikes(strikes) })
+	c.process.options.Metrics.TargetCrash(d.First, len(d.InFlight))
 }
 
 // flightFields returns the log fields of requests in flight at a crash, of at most maxLoggedFlights.
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
+	"github.com/valyala/fasthttp"
 
 	"waxwingpick"
 	"waxwingpick/core/suspect"
@@ -194,3 +195,43 @@
 	c.outbox.addStrikes(strikes)
 	require.Less(t, len(encode(t, c.outbox.take(clock.Now(), "gateway-of-a-long-name"))), udp.MaxMessage)
 }
+
+// TestCrashIsCountedOnce loses several responses at the crash of a target, before and after it is found to be down. Their
+// candidates are cleared, so that no strike tells that the crash is known.
+func TestCrashIsCountedOnce(t *testing.T) {
+	c, clock := crashesOf(t, &probeCounter{})
+	crashes := func() string {
+		var ctx fasthttp.RequestCtx
+		ctx.Request.Header.SetMethod(fasthttp.MethodGet)
+		c.process.options.Metrics.Handler()(&ctx)
+		for line := range strings.Lines(string(ctx.Response.Body())) {
+			if name, value, _ := strings.Cut(line, " "); name == "waxwingpick_gateway_target_crashes_total" {
+				return strings.TrimSpace(value)
+			}
+		}
+		return ""
+	}
+	one := waxwingpick.Target{
+		ID: "one",
+	}
+	lose := func(n int) {
+		f := flight(clock.Now(), suspect.RequestCandidate(suspect.Fingerprint(n)))
+		clock.Advance(time.Millisecond)
+		c.completed(clock.Now(), f.Candidates)
+		c.responseLost(one, f)
+	}
+	for run := range 2 {
+		for n := range 3 {
+			lose(n)
+		}
+		c.unreachable(one)
+		require.Equal(t, fmt.Sprint(run+1), crashes())
+		sentBefore := flight(clock.Now().Add(-10*time.Millisecond), suspect.RequestCandidate(7))
+		for range 3 {
+			c.responseLost(one, sentBefore)
+			clock.Advance(time.Millisecond)
+		}
+		require.Equal(t, fmt.Sprint(run+1), crashes())
+		clock.Advance(time.Second)
+	}
+}
