core/feed, platform: changes of a store that returns from an older copy do not continue another era

What could happen: the store loses some seconds and gives their revisions out again. A gateway that had followed the lost ones was told that its watch goes on once the revisions had passed its own, and never saw what was written under them: leaves of targets, routes. Or it got 410, read all keys, and rejected the reading because its revision was lower, until the store had passed it. Its lease and the revision that it had read could be another process's.

Relays send the era with their updates.

--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -32,13 +32,16 @@
 	Zone waxwingpick.AvailabilityZone
 	// ServiceReachable means that the service responds to the relay.
 	ServiceReachable bool
-	// Base and Revision are the range of the update. A receiver that holds everything up to Base, or up to a later
-	// revision, holds everything up to Revision after it has applied Changes.
+	// Base and Revision are the range of the update, in one era. A receiver that holds everything up to Base, or up to a
+	// later revision, holds everything up to Revision after it has applied Changes.
+	Era      int64
 	Base     int64
 	Revision int64
 	Changes  []waxwingpick.KeyChange
-	// SinceRecovery is the time since the service recovered from a recent outage.
+	// SinceRecovery is the time since the service recovered from a recent outage, SinceEra that since it returned in a recent
+	// era.
 	SinceRecovery waxwingpick.Option[time.Duration]
+	SinceEra      waxwingpick.Option[time.Duration]
 }
 
 // Mode is how a process obtains changes.
@@ -80,7 +83,11 @@
 
 	relays   map[waxwingpick.InstanceID]relay
 	synced   bool
-	revision int64
+	position waxwingpick.Position
+	// resyncAt is when a process that received an update of a new era reads all keys, nextEraSince when that era began, if the
+	// update told.
+	resyncAt     time.Time
+	nextEraSince waxwingpick.Option[time.Time]
 	// keyRevisions holds the latest revision of each key, since the pages of a snapshot may be newer than its revision.
 	keyRevisions map[string]int64
 	tail         tail
@@ -91,8 +98,10 @@
 	unavailable bool
 	// unreachableUpdates counts the updates sent with Touch unset.
 	unreachableUpdates int
-	returned           time.Time
-	lastSynced         time.Time
+	// returned is when the service last recovered from an outage, eraSince when it returned in the current era.
+	returned   time.Time
+	eraSince   time.Time
+	lastSynced time.Time
 	// lastResponse is when the service last responded to this process.
 	lastResponse time.Time
 	// gapSince is when an update first did not continue the local revision, gapBase the base of that update.
@@ -123,13 +132,16 @@
 	return f.synced
 }
 
-// Revision returns the revision up to which all changes are applied.
-func (f *Feed) Revision() int64 {
-	return f.revision
+// Position returns the position up to which all changes are applied.
+func (f *Feed) Position() waxwingpick.Position {
+	return f.position
 }
 
 // Mode returns how the process should obtain changes now.
 func (f *Feed) Mode(now time.Time) Mode {
+	if !f.synced && now.Before(f.resyncAt) {
+		return ModeReceive
+	}
 	if !f.synced || !f.gapSince.IsZero() && now.Sub(f.gapSince) >= gapTimeout+f.jitter {
 		return ModeRead
 	}
@@ -186,35 +198,46 @@
 	f.synced = false
 }
 
-// ApplySnapshot applies a reading of all keys whose first page was read at the revision. It returns false if the
-// process has applied a later revision in the meantime.
-func (f *Feed) ApplySnapshot(now time.Time, entries []waxwingpick.Entry, revision int64) bool {
+// ApplySnapshot applies a reading of all keys whose first page was read at the position. It returns false if the process
+// has applied a later position in the meantime. The first snapshot of a new era counts as the end of an outage, since the
+// service was away before it.
+func (f *Feed) ApplySnapshot(now time.Time, entries []waxwingpick.Entry, at waxwingpick.Position) bool {
 	f.serviceResponded(now)
-	if revision < f.revision {
+	if at.Before(f.position) {
 		return false
 	}
+	if f.position.Era != 0 && at.Era > f.position.Era {
+		f.eraSince = f.nextEraSince.OrElse(now)
+	}
+	if at.Era != f.position.Era {
+		f.closeGap()
+		f.nextEraSince = waxwingpick.None[time.Time]()
+	}
 	f.keyRevisions = make(map[string]int64, len(entries))
 	for _, e := range entries {
 		f.keyRevisions[e.Key] = e.Revision
 	}
 	f.synced = true
-	f.tail.reset(revision)
-	f.advance(revision)
+	f.tail.reset(at.Revision)
+	f.advance(at)
 	return true
 }
 
-// ApplyChanges applies the service's changes after a revision and returns the new ones. If the service has not reached
-// that revision, the process received a wrong update, and has to read all keys next.
-func (f *Feed) ApplyChanges(now time.Time, after int64, changes []waxwingpick.KeyChange, revision int64) []waxwingpick.KeyChange {
+// ApplyChanges applies the service's changes after a position and returns the new ones. If the service has not reached
+// that position, the process received a wrong update, and has to read all keys next. A response of an earlier era is
+// discarded.
+func (f *Feed) ApplyChanges(now time.Time, after waxwingpick.Position, changes []waxwingpick.KeyChange, at waxwingpick.Position) []waxwingpick.KeyChange {
 	f.serviceResponded(now)
-	if revision < after {
+	if at.Era < f.position.Era {
+		return nil
+	}
+	if at.Before(after) {
 		f.synced = false
-		f.revision = 0
-		f.gapBase = 0
-		f.gapSince = time.Time{}
+		f.position.Revision = 0
+		f.closeGap()
 		return nil
 	}
-	return f.apply(changes, revision)
+	return f.apply(changes, at)
 }
 
 // ApplyUpdate applies a relay's update and returns the changes that are new.
@@ -222,17 +245,30 @@
 	if n.From == f.self || n.Zone != f.zone {
 		return nil
 	}
+	at := waxwingpick.Position{
+		Era:      n.Era,
+		Revision: n.Revision,
+	}
 	if _, ok := f.relays[n.From]; ok || len(f.relays) < maxRelays {
 		f.relays[n.From] = relay{
 			lastMessage: now,
 			rank:        rankOf(n.From),
-			current:     n.ServiceReachable && f.synced && n.Revision >= f.revision,
+			current:     n.ServiceReachable && f.synced && !at.Before(f.position),
 		}
 	}
-	if !f.synced || !n.ServiceReachable || n.Revision < f.revision {
+	if !f.synced || !n.ServiceReachable || at.Before(f.position) {
+		return nil
+	}
+	if n.Era > f.position.Era {
+		f.synced = false
+		f.resyncAt = now.Add(f.jitter)
+		f.nextEraSince = waxwingpick.None[time.Time]()
+		if ago, ok := n.SinceEra.Get(); ok {
+			f.nextEraSince = waxwingpick.Some(now.Add(-ago))
+		}
 		return nil
 	}
-	if n.Base > f.revision {
+	if n.Base > f.position.Revision {
 		if f.gapSince.IsZero() {
 			f.gapSince = now
 			f.gapBase = n.Base
@@ -243,7 +279,7 @@
 		f.recordReturn(now, now.Add(-ago))
 	}
 	f.serviceReached(now)
-	return f.apply(n.Changes, n.Revision)
+	return f.apply(n.Changes, at)
 }
 
 // recordReturn records another process's report that the service recovered. For this process, there was an outage only
@@ -256,17 +292,21 @@
 	}
 }
 
-// RecoveredAt returns when the service last recovered from an outage, as far as known; zero if there was none.
+// RecoveredAt returns when the service last recovered from an outage or returned from an older copy, as far as known; zero if
+// neither happened.
 func (f *Feed) RecoveredAt() time.Time {
+	if f.eraSince.After(f.returned) {
+		return f.eraSince
+	}
 	return f.returned
 }
 
-// apply applies changes up to a revision that continue the local one, and returns the latest new change of each key.
-func (f *Feed) apply(changes []waxwingpick.KeyChange, revision int64) []waxwingpick.KeyChange {
+// apply applies changes up to a position that continue the local one, and returns the latest new change of each key.
+func (f *Feed) apply(changes []waxwingpick.KeyChange, to waxwingpick.Position) []waxwingpick.KeyChange {
 	var newest []waxwingpick.KeyChange
 	at := make(map[string]int)
 	for _, c := range changes {
-		if c.Revision <= f.revision || c.Revision > revision || c.Revision < f.keyRevisions[c.Key] {
+		if c.Revision <= f.position.Revision || c.Revision > to.Revision || c.Revision < f.keyRevisions[c.Key] {
 			continue
 		}
 		f.tail.add(c)
@@ -282,17 +322,25 @@
 		at[c.Key] = len(newest)
 		newest = append(newest, c)
 	}
-	f.advance(revision)
+	f.advance(to)
 	return newest
 }
 
-func (f *Feed) advance(revision int64) {
-	f.revision = max(f.revision, revision)
-	if f.revision >= f.gapBase {
+func (f *Feed) advance(to waxwingpick.Position) {
+	if f.position.Before(to) {
+		f.position = to
+	}
+	if f.position.Revision >= f.gapBase {
 		f.gapSince = time.Time{}
 	}
 }
 
+// closeGap discards a gap that was noticed before.
+func (f *Feed) closeGap() {
+	f.gapBase = 0
+	f.gapSince = time.Time{}
+}
+
 // returnReportPeriod is how long after an outage relays report the recovery of the service.
 const returnReportPeriod = 5 * time.Second
 
@@ -309,11 +357,15 @@
 		From:             f.self,
 		Zone:             f.zone,
 		ServiceReachable: f.reachable,
-		Revision:         f.revision,
+		Era:              f.position.Era,
+		Revision:         f.position.Revision,
 	}
 	if ago := now.Sub(f.returned); !f.returned.IsZero() && ago < returnReportPeriod {
 		n.SinceRecovery = waxwingpick.Some(ago)
 	}
+	if ago := now.Sub(f.eraSince); !f.eraSince.IsZero() && ago < returnReportPeriod {
+		n.SinceEra = waxwingpick.Some(ago)
+	}
 	n.Base, n.Changes = f.tail.next()
 	return n, true
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -108,7 +108,8 @@
 		f.mode = mode
 		f.process.log.WithFields(logrus.Fields{
 			"mode":      mode.String(),
-			"revision":  f.feed.Revision(),
+			"era":       f.feed.Position().Era,
+			"revision":  f.feed.Position().Revision,
 			"ageMillis": age.Milliseconds(),
 		}).Info("key feed mode changed")
 	}
@@ -119,17 +120,17 @@
 func (f *follower) poll() error {
 	p := f.process
 	f.mu.Lock()
-	initialized, after := f.feed.Synced(), f.feed.Revision()
+	initialized, after := f.feed.Synced(), f.feed.Position()
 	f.mu.Unlock()
 	if !initialized {
-		entries, revision, err := p.options.Feed.Snapshot(p.lifecycle, p.options.Catalog.Prefix)
+		entries, at, err := p.options.Feed.Snapshot(p.lifecycle, p.options.Catalog.Prefix)
 		if err != nil {
 			return err
 		}
-		f.applySnapshot(entries, revision)
+		f.applySnapshot(entries, at)
 		return nil
 	}
-	changes, revision, err := p.options.Feed.Changes(p.lifecycle, p.options.Catalog.Prefix, after, pollWait)
+	changes, at, err := p.options.Feed.Changes(p.lifecycle, p.options.Catalog.Prefix, after, pollWait)
 	if err != nil {
 		if errors.Is(err, waxwingpick.ErrHistoryCompacted) {
 			f.mu.Lock()
@@ -138,19 +139,27 @@
 		}
 		return err
 	}
-	if f.applyChanges(after, changes, revision) {
+	if f.applyChanges(after, changes, at) {
 		f.publish(p.timers.Now())
 	}
 	return nil
 }
 
-func (f *follower) applySnapshot(entries []waxwingpick.Entry, revision int64) {
+func (f *follower) applySnapshot(entries []waxwingpick.Entry, at waxwingpick.Position) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.process.timers.Now()
-	if !f.feed.ApplySnapshot(now, entries, revision) {
+	before := f.feed.Position()
+	if !f.feed.ApplySnapshot(now, entries, at) {
 		return
 	}
+	f.process.options.Metrics.Era(at.Era)
+	if before.Era != 0 && before.Era != at.Era {
+		f.process.log.WithFields(logrus.Fields{
+			"before": before.String(),
+			"after":  at.String(),
+		}).Warn("key-value service returned from an older copy: all keys read again")
+	}
 	f.markAvailable(now)
 	for _, s := range f.sinks {
 		var matching []waxwingpick.Entry
@@ -165,11 +174,11 @@
 }
 
 // applyChanges applies the service's response and reports whether it contained anything new.
-func (f *follower) applyChanges(after int64, changes []waxwingpick.KeyChange, revision int64) bool {
+func (f *follower) applyChanges(after waxwingpick.Position, changes []waxwingpick.KeyChange, at waxwingpick.Position) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.process.timers.Now()
-	fresh := f.feed.ApplyChanges(now, after, changes, revision)
+	fresh := f.feed.ApplyChanges(now, after, changes, at)
 	f.markAvailable(now)
 	f.apply(fresh)
 	return len(fresh) > 0
--- a/internal/gateway/update.go
+++ b/internal/gateway/update.go
@@ -18,7 +18,7 @@
 	updateKind = 0x01
 	// maxUpdateBytes bounds an update before compression.
 	maxUpdateBytes = 1 << 20
-	// noRecovery is the ReturnedMillis of an update without a recent outage of the key-value service.
+	// noRecovery is the ReturnedMillis or EraMillis of an update without a recent outage or new era of the key-value service.
 	noRecovery = -1
 )
 
@@ -31,6 +31,8 @@
 	From           waxwingpick.InstanceID
 	Zone           waxwingpick.AvailabilityZone
 	Touch          bool
+	Era            int64
+	EraMillis      int64
 	Base           int64
 	Revision       int64
 	ReturnedMillis int64
@@ -52,13 +54,18 @@
 		From:           n.From,
 		Zone:           n.Zone,
 		Touch:          n.ServiceReachable,
+		Era:            n.Era,
 		Base:           n.Base,
 		Revision:       n.Revision,
 		ReturnedMillis: noRecovery,
+		EraMillis:      noRecovery,
 	}
 	if ago, ok := n.SinceRecovery.Get(); ok {
 		m.ReturnedMillis = ago.Milliseconds()
 	}
+	if ago, ok := n.SinceEra.Get(); ok {
+		m.EraMillis = ago.Milliseconds()
+	}
 	for _, c := range n.Changes {
 		m.Changes = append(m.Changes, changeMessage{
 			Key:      c.Key,
@@ -101,12 +108,12 @@
 		From:             m.From,
 		Zone:             m.Zone,
 		ServiceReachable: m.Touch,
+		Era:              m.Era,
 		Base:             m.Base,
 		Revision:         m.Revision,
 	}
-	if m.ReturnedMillis >= 0 && m.ReturnedMillis < time.Minute.Milliseconds() {
-		n.SinceRecovery = waxwingpick.Some(time.Duration(m.ReturnedMillis) * time.Millisecond)
-	}
+	n.SinceRecovery = recoveryOf(m.ReturnedMillis)
+	n.SinceEra = recoveryOf(m.EraMillis)
 	for _, c := range m.Changes {
 		n.Changes = append(n.Changes, waxwingpick.KeyChange{
 			Entry: waxwingpick.Entry{
@@ -119,3 +126,11 @@
 	}
 	return n, nil
 }
+
+// recoveryOf decodes the time since a recovery; none if the message has none or a time that is not recent.
+func recoveryOf(millis int64) waxwingpick.Option[time.Duration] {
+	if millis < 0 || millis >= time.Minute.Milliseconds() {
+		return waxwingpick.None[time.Duration]()
+	}
+	return waxwingpick.Some(time.Duration(millis) * time.Millisecond)
+}
--- a/internal/gateway/update_test.go
+++ b/internal/gateway/update_test.go
@@ -23,6 +23,8 @@
 		Base:             17,
 		Revision:         23,
 		SinceRecovery:    waxwingpick.Some(1500 * time.Millisecond),
+		Era:              3,
+		SinceEra:         waxwingpick.Some(700 * time.Millisecond),
 		Changes: []waxwingpick.KeyChange{
 			{
 				Entry: waxwingpick.Entry{
@@ -53,6 +55,7 @@
 
 	want.Changes = nil
 	want.SinceRecovery = waxwingpick.None[time.Duration]()
+	want.SinceEra = waxwingpick.None[time.Duration]()
 	message, err = encodeUpdate(want)
 	require.NoError(t, err)
 	require.Less(t, len(message), 80, "a message without changes is sent several times a second")
--- a/io/prometheus/gateway.go
+++ b/io/prometheus/gateway.go
@@ -30,6 +30,7 @@
 	peers      client.Gauge
 	sharing    client.Gauge
 	feedReads  client.Gauge
+	era        client.Gauge
 	feedAge    client.Gauge
 	reportAge  client.Histogram
 	targets    *client.GaugeVec
@@ -57,6 +58,7 @@
 		peers:      unlabeledGauge("gateway_peers", "Other gateways that load is told to."),
 		sharing:    unlabeledGauge("gateway_sharing", "Gateways that share the retry budget; zero as long as their number is not known."),
 		feedReads:  unlabeledGauge("gateway_feed_reads", "1 where changes are read from the key-value service, 0 where other gateways tell them."),
+		era:        unlabeledGauge("gateway_store_era", "Era of the key-value service that is followed; zero if it names none."),
 		feedAge:    unlabeledGauge("gateway_feed_age_seconds", "Time since it was last known that no change is missing."),
 		reportAge: client.NewHistogram(client.HistogramOpts{
 			Namespace: namespace,
@@ -75,7 +77,7 @@
 	for _, c := range []client.Collector{
 		g.requests, g.responses, g.firstEvent, g.refused, g.retries, g.attempts, g.running, g.version, g.peers, g.sharing,
 		g.feedReads, g.feedAge, g.reportAge, g.targets, g.statements, g.stated, g.crashes, g.inFlight,
-		g.verdicts, g.suspects, g.streamEnds,
+		g.verdicts, g.suspects, g.streamEnds, g.era,
 	} {
 		if err := g.registry.Register(c); err != nil {
 			return nil, fmt.Errorf("register metrics: %w", err)
@@ -162,6 +164,11 @@
 	g.feedAge.Set(age.Seconds())
 }
 
+// Era sets the era of the key-value service that is followed.
+func (g *Gateway) Era(era int64) {
+	g.era.Set(float64(era))
+}
+
 // ReportAges observes the ages of the load reports of other gateways about an engine when it is chosen.
 func (g *Gateway) ReportAges(ages []time.Duration) {
 	for _, age := range ages {
