core/targetlist: targets do not go back with an older copy of the list

A list that is read from an older copy shows targets as ready that were leaving, removed or had started again.

TestNothingGoesBackWithTheStore plays two drills before four gateways, whole path.

--- a/core/targetlist/list_test.go
+++ b/core/targetlist/list_test.go
@@ -126,3 +126,123 @@
 		})
 	})
 }
+
+// written returns the entry of one incarnation of a target at its n-th write.
+func written(id waxwingpick.TargetID, start, n int64, leaving bool) waxwingpick.Target {
+	t := target(id)
+	t.StartUnixMillis = start
+	t.Sequence = n
+	t.Leaving = leaving
+	return t
+}
+
+// TestTargetsDoNotGoBackWithTheList reads an older copy of the list. What was known of an incarnation holds until it writes its
+// entry again, and no longer than the entries of targets that have ended take to expire.
+func TestTargetsDoNotGoBackWithTheList(t *testing.T) {
+	at := start.Add(time.Minute)
+	tests := map[string]struct {
+		known  []waxwingpick.Target
+		gone   waxwingpick.TargetID
+		copied []waxwingpick.Target
+		// later is written after the copy was read.
+		later []waxwingpick.Target
+		want  []waxwingpick.Target
+	}{
+		"leaving": {
+			known:  []waxwingpick.Target{written("a", 1, 5, true)},
+			copied: []waxwingpick.Target{written("a", 1, 3, false)},
+			want:   []waxwingpick.Target{written("a", 1, 5, true)},
+		},
+		"leaving, ready write was not received": {
+			known:  []waxwingpick.Target{written("a", 1, 5, true)},
+			copied: []waxwingpick.Target{written("a", 1, 9, false)},
+			want:   []waxwingpick.Target{written("a", 1, 5, true)},
+		},
+		"leaving, written again": {
+			known:  []waxwingpick.Target{written("a", 1, 5, true)},
+			copied: []waxwingpick.Target{written("a", 1, 3, false)},
+			later:  []waxwingpick.Target{written("a", 1, 6, true)},
+			want:   []waxwingpick.Target{written("a", 1, 6, true)},
+		},
+		"leaving, copy read twice": {
+			known:  []waxwingpick.Target{written("a", 1, 5, true)},
+			copied: []waxwingpick.Target{written("a", 1, 3, false)},
+			later:  []waxwingpick.Target{written("a", 1, 3, false)},
+			want:   []waxwingpick.Target{written("a", 1, 5, true)},
+		},
+		"leaving, next incarnation": {
+			known:  []waxwingpick.Target{written("a", 1, 5, true)},
+			copied: []waxwingpick.Target{written("a", 1, 3, false)},
+			later:  []waxwingpick.Target{written("a", 2, 1, false)},
+			want:   []waxwingpick.Target{written("a", 2, 1, false)},
+		},
+		"removed": {
+			known:  []waxwingpick.Target{written("a", 1, 5, false)},
+			gone:   "a",
+			copied: []waxwingpick.Target{written("a", 1, 7, false)},
+		},
+		"removed, but it lives": {
+			known:  []waxwingpick.Target{written("a", 1, 5, false)},
+			gone:   "a",
+			copied: []waxwingpick.Target{written("a", 1, 7, false)},
+			later:  []waxwingpick.Target{written("a", 1, 8, false)},
+			want:   []waxwingpick.Target{written("a", 1, 8, false)},
+		},
+		"started again": {
+			known:  []waxwingpick.Target{written("a", 2, 1, false)},
+			copied: []waxwingpick.Target{written("a", 1, 90, false)},
+			want:   []waxwingpick.Target{written("a", 2, 1, false)},
+		},
+		"missing in the copy": {
+			known: []waxwingpick.Target{written("a", 1, 5, false)},
+			want:  []waxwingpick.Target{written("a", 1, 5, false)},
+		},
+		"unknown before": {
+			copied: []waxwingpick.Target{written("a", 1, 5, false)},
+			want:   []waxwingpick.Target{written("a", 1, 5, false)},
+		},
+		"ready": {
+			known:  []waxwingpick.Target{written("a", 1, 5, false)},
+			copied: []waxwingpick.Target{written("a", 1, 3, false)},
+			want:   []waxwingpick.Target{written("a", 1, 3, false)},
+		},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			l := targetlist.New()
+			l.Replace(start, tt.known)
+			if tt.gone != "" {
+				l.Remove(at.Add(-time.Second), tt.gone)
+			}
+			l.MarkUnavailable()
+			l.MarkAvailable(at)
+			l.MarkRestored(at)
+			l.Replace(at, tt.copied)
+			for _, later := range tt.later {
+				l.Put(later)
+			}
+			require.ElementsMatch(t, tt.want, l.Targets())
+			require.False(t, l.Expire(at.Add(time.Second)))
+			require.ElementsMatch(t, tt.want, l.Targets())
+		})
+	}
+}
+
+// TestEntriesOfACopyAreHeldBackForATime checks that a contradicting entry that stays in the list applies in the end.
+func TestEntriesOfACopyAreHeldBackForATime(t *testing.T) {
+	l := targetlist.New()
+	l.Replace(start, []waxwingpick.Target{written("a", 1, 5, true)})
+	l.MarkRestored(start)
+	l.Replace(start, []waxwingpick.Target{written("a", 1, 3, false)})
+	require.False(t, l.Expire(start.Add(targetlist.RestoreHold-time.Millisecond)))
+	require.True(t, l.Expire(start.Add(targetlist.RestoreHold)))
+	require.Equal(t, []waxwingpick.Target{written("a", 1, 3, false)}, l.Targets())
+
+	l = targetlist.New()
+	l.Replace(start, []waxwingpick.Target{written("a", 1, 5, true)})
+	l.MarkRestored(start)
+	l.Replace(start, []waxwingpick.Target{written("a", 1, 3, false)})
+	l.Remove(start.Add(time.Second), "a")
+	l.Expire(start.Add(targetlist.RestoreHold))
+	require.Empty(t, l.Targets(), "the entry expired")
+}
--- /dev/null
+++ b/internal/daemon/restore_test.go
@@ -0,0 +1,63 @@
+package daemon
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestNothingGoesBackWithTheStore has the store return from an older copy and give the lost revisions out to other writes before
+// any gateway asks again. The lost configuration and the leave of a target stay in force at all gateways, which follow what is
+// written then, and register again.
+func TestNothingGoesBackWithTheStore(t *testing.T) {
+	t.Parallel()
+	f := startFleet(t, 4)
+	f.store.SetEra(1)
+	f.awaitAll("waxwingpick_gateway_store_era 1\n")
+	older := f.store.Store().Copy()
+	f.configure(f.members...)
+	draining := f.services[0].ListRecord("app", "zone", "draining")
+	require.NoError(t, f.store.Put(t.Context(), "servers/app0", draining))
+	f.awaitAll("waxwingpick_gateway_targets{service=\"app\",state=\"leaving\"} 1\n")
+	lost := f.store.Store().Revision()
+
+	for era := 2; era < 4; era++ {
+		f.store.Restore(older)
+		for i := 0; f.store.Store().Revision() <= lost; i++ {
+			require.NoError(t, f.store.Put(t.Context(), fmt.Sprint("op/unrelated", i), era))
+		}
+		f.awaitAll(fmt.Sprintf("waxwingpick_gateway_store_era %d\n", era))
+		ran := len(f.services[0].Runs())
+		for i := range 20 {
+			for _, m := range f.members {
+				f.boot = m.boot
+				status, _, _ := f.read(f.send(fmt.Sprint("id", era, i), fmt.Sprintf("/version%d/1", f.version), ""))
+				require.Equal(t, http.StatusOK, status, "the latest configuration at %s", m.boot.Instance)
+			}
+		}
+		require.Len(t, f.services[0].Runs(), ran, "requests to the leaving target")
+
+		// What the operators and the target wrote is written again.
+		draining["sequence"] = era
+		require.NoError(t, f.store.Put(t.Context(), "servers/app0", draining))
+		f.configure(f.members...)
+		f.awaitAll("waxwingpick_gateway_targets{service=\"app\",state=\"leaving\"} 1\n")
+		for _, m := range f.members {
+			require.Eventually(t, func() bool {
+				e, _ := f.store.Store().Peek("waxwingpick/gateway/zone/" + string(m.boot.Instance))
+				return e.Exists()
+			}, time.Minute, 10*time.Millisecond, "%s registers again", m.boot.Instance)
+		}
+		lost = f.store.Store().Revision()
+	}
+}
+
+// awaitAll waits until the metrics of all members contain a line.
+func (f *fleet) awaitAll(line string) {
+	for _, m := range f.members {
+		f.awaitMetric(m.boot, line)
+	}
+}
--- a/internal/gateway/sinks.go
+++ b/internal/gateway/sinks.go
@@ -59,6 +59,9 @@
 func (s *routesSink) serviceUp(time.Time) {}
 func (s *routesSink) batchApplied()       {}
 
+// serviceRestored changes nothing: a configuration stays active until a newer version comes.
+func (s *routesSink) serviceRestored(time.Time) {}
+
 // targetsSink maintains the list of targets.
 type targetsSink struct {
 	process *Process
@@ -127,6 +130,12 @@
 	s.process.list.MarkAvailable(at)
 }
 
+func (s *targetsSink) serviceRestored(now time.Time) {
+	s.process.listMu.Lock()
+	defer s.process.listMu.Unlock()
+	s.process.list.MarkRestored(now)
+}
+
 func (s *targetsSink) batchApplied() {
 	s.process.updateServices()
 }
--- a/target.go
+++ b/target.go
@@ -22,6 +22,8 @@
 	Leaving bool
 	// StartUnixMillis is the start time of this incarnation in Unix milliseconds; zero if unknown.
 	StartUnixMillis int64
+	// Sequence counts the writes of its list entry by this incarnation.
+	Sequence int64
 }
 
 // KVSource identifies KV cache that a target holds for one run on another target.
