gateway: a target that crashes again right after its start is probed again

The log shows two crashes detected and four losses without a probe, each less than 250 ms after a probe that had found the target down.

Cause: the minimum interval between two probes spares healthy targets connections, but also held after a probe that found the target down. Such a probe is forgotten now. TestCrashSoonAfterARestartIsDetected failed before (one probe of three).

--- a/internal/gateway/crashes.go
+++ b/internal/gateway/crashes.go
@@ -104,9 +104,18 @@
 	// may still run.
 	if err := c.process.options.Targets.CheckReachable(ctx, t); err != nil && ctx.Err() == nil {
 		c.unreachable(t)
+		c.forgetProbe(t.ID)
 	}
 }
 
+// forgetProbe makes the next loss of a response probe the target again. One that was down may crash again as soon as it has
+// started.
+func (c *crashTracker) forgetProbe(id waxwingpick.TargetID) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.probes, id)
+}
+
 // probe returns the target's running or recent probe, or a new one; first reports whether the caller has to perform it.
 func (c *crashTracker) probe(now time.Time, id waxwingpick.TargetID) (p *probe, first bool) {
 	c.mu.Lock()
--- a/internal/gateway/crashes_test.go
+++ b/internal/gateway/crashes_test.go
@@ -235,3 +235,24 @@
 		clock.Advance(time.Second)
 	}
 }
+
+// TestCrashSoonAfterARestartIsDetected crashes a target again within the minimum interval of probes.
+func TestCrashSoonAfterARestartIsDetected(t *testing.T) {
+	targets := &probeCounter{
+		err: waxwingpick.ErrEngineUnreachable,
+	}
+	c, clock := crashesOf(t, targets)
+	one := waxwingpick.Target{
+		ID: "one",
+	}
+	fatal := []suspect.Candidate{suspect.PartCandidate("fatal")}
+	for range 3 {
+		require.Equal(t, suspect.StatusClean, c.decide(clock.Now(), fatal, 0).Status)
+		clock.Advance(probeInterval / 10)
+		f := flight(clock.Now(), fatal...)
+		clock.Advance(time.Millisecond)
+		c.responseLost(one, f)
+	}
+	require.EqualValues(t, 3, targets.probes.Load())
+	require.Equal(t, suspect.StatusRefused, c.decide(clock.Now(), fatal, 0).Status)
+}
