--- /dev/null
+++ b/config/doc.go
@@ -0,0 +1,2 @@
+// Package samples embeds the sample configuration files.
+package samples
--- a/config/samples.go
+++ b/config/samples.go
@@ -1,4 +1,3 @@
-// Package samples embeds the sample configuration files.
 package samples
 
 import "embed"
--- a/internal/etcdwire/wire.go
+++ b/internal/etcdwire/wire.go
@@ -1,5 +1,3 @@
-// Package etcdwire defines the messages of the etcd v3 HTTP/JSON gateway that the
-// adapter and its stand-in use. Bytes are base64, 64-bit integers are strings.
 package etcdwire
 
 // The paths of the gateway.
