review: a crash looks like the end of a stream without length

The kernel ends the connections of a killed replica in order. Where a stream has neither length nor chunks, the gateway takes that for its end and adds the last chunk itself, so that the caller gets a truncated stream as complete (ORDER).

Added: case 2, with replicas as processes of their own. Cases 2 to 4 are now 3 to 5.

--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,3 +1,3 @@
 #!/bin/sh
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review/harness head review/4
+exec target/review/harness garble review/4
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -14,6 +14,8 @@
 	exitNotRun  = 2
 	recordName  = "record.txt"
 	argumentLen = 3
+	// targetArgumentLen is the number of arguments of a replica.
+	targetArgumentLen = 4
 	// timeLimit ends a case that takes too long.
 	timeLimit = 118 * time.Second
 )
@@ -22,6 +24,10 @@
 var cases = map[string]func(w *world) ([]string, error){}
 
 func main() {
+	if len(os.Args) == targetArgumentLen && os.Args[1] == targetArgument {
+		fmt.Fprintln(os.Stderr, "harness:", serveUnframed(os.Args[2], os.Args[3]))
+		os.Exit(exitNotRun)
+	}
 	if len(os.Args) != argumentLen || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: harness CASE FOLDER")
 		os.Exit(exitNotRun)
