--- a/io/plain/client.go
+++ b/io/plain/client.go
@@ -65,7 +65,8 @@
 }
 
 // Call sends a request once. It fails with ErrEngineRefused if the request cannot be sent as HTTP, with
-// ErrEngineUnreachable if nothing was sent, and with ErrEngineLost if the request may have run.
+// ErrEngineUnreachable if nothing was sent, and with ErrEngineLost if the request may have run. It fails with ErrEndUnproven
+// too if the response states neither a length nor chunks.
 func (c *Client) Call(ctx context.Context, req waxwingpick.CallRequest) (waxwingpick.CallResponse, error) {
 	var none waxwingpick.CallResponse
 	if err := check(req); err != nil {
@@ -86,6 +87,10 @@
 	if err != nil {
 		return none, fmt.Errorf("call %s %.256q: %w", req.Method, req.Path, err)
 	}
+	if resp.Framing() == waxwingpick.FramingConnection {
+		// A crash of the service would end the response in the same way.
+		return none, fmt.Errorf("call %s %.256q: %w: %w: neither length nor chunks", req.Method, req.Path, waxwingpick.ErrEngineLost, waxwingpick.ErrEndUnproven)
+	}
 	return waxwingpick.CallResponse{
 		Status:  resp.Status(),
 		Headers: headersOf(http1.EndToEnd(resp.Fields())),
--- a/io/plain/foreign_test.go
+++ b/io/plain/foreign_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"waxwingpick"
 	"waxwingpick/internal/loopback"
 	"waxwingpick/io/plain"
 )
@@ -41,6 +42,51 @@
 	}
 }
 
+// TestResponseThatOnlyItsConnectionEndsIsNotComplete has a service close its connection in order after all of a response or a part
+// of it, as the kernel does for a crashed process. Only a response that states its end may be complete.
+func TestResponseThatOnlyItsConnectionEndsIsNotComplete(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		raw      string
+		complete bool
+	}{
+		"connection":        {raw: "HTTP/1.1 200 OK\r\n\r\nhalf of"},
+		"connection, empty": {raw: "HTTP/1.1 200 OK\r\n\r\n"},
+		"HTTP/1.0":          {raw: "HTTP/1.0 200 OK\r\n\r\nhalf of"},
+		"length":            {raw: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole", complete: true},
+		"length, cut":       {raw: "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhol"},
+		"chunks":            {raw: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", complete: true},
+		"chunks, cut":       {raw: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n"},
+		"no content":        {raw: "HTTP/1.1 204 No Content\r\n\r\n", complete: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ln, err := net.Listen("tcp", loopback.AnyPort())
+			require.NoError(t, err)
+			t.Cleanup(func() { ln.Close() })
+			go func() {
+				conn, err := ln.Accept()
+				if err != nil {
+					return
+				}
+				defer conn.Close()
+				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+					_, _ = io.WriteString(conn, tc.raw)
+				}
+			}()
+			c, err := plain.New(ln.Addr().String())
+			require.NoError(t, err)
+			t.Cleanup(c.Close)
+			_, err = c.Call(t.Context(), booking(http.MethodGet, "/bookings/1", ""))
+			if tc.complete {
+				require.NoError(t, err)
+				return
+			}
+			require.ErrorIs(t, err, waxwingpick.ErrEngineLost)
+		})
+	}
+}
+
 // respondTwice responds to each request of a connection with its path, and before that with all earlier responses.
 func respondTwice(c net.Conn) {
 	defer c.Close()
