platform, http1: bytes that are no answer are not passed on as a success

Ruled out: a response of another request (the connection is closed after each such response, and the same bytes fail on used connections).

Tests that write raw bytes of targets sign them now, so that they still reach the code that they are about; their expectations are unchanged.

--- a/internal/daemon/endcheck_test.go
+++ b/internal/daemon/endcheck_test.go
@@ -12,7 +12,7 @@
 
 // unframed returns the head of a response that ends with its connection, and the bytes after it.
 func unframed(contentType, body string) string {
-	return "HTTP/1.1 200 OK\r\nWaxwingpick-Request-Id: id\r\nWaxwingpick-Server-Stamp: stamp\r\nContent-Type: " + contentType + "\r\n\r\n" + body
+	return signed("HTTP/1.1 200 OK\r\nContent-Type: " + contentType + "\r\n\r\n" + body)
 }
 
 // after is what happens to a target between the last byte of a response and the end of its connection, which is closed in order.
--- a/internal/daemon/gateway_test.go
+++ b/internal/daemon/gateway_test.go
@@ -344,6 +344,11 @@
 	require.Len(t, s.runs(), 1)
 }
 
+// signed adds to the first response of raw bytes the fields that make it an answer to the request with the ID "id".
+func signed(raw string) string {
+	return strings.Replace(raw, "\r\n", "\r\nWaxwingpick-Request-Id: id\r\nWaxwingpick-Server-Stamp: stamp\r\n", 1)
+}
+
 // TestStreamThatEndsInsideAnEventDoesNotLookComplete breaks streams off by closing their connection in order. A response
 // without length and chunks states no other end, and one with chunks may lack its last one.
 func TestStreamThatEndsInsideAnEventDoesNotLookComplete(t *testing.T) {
@@ -374,7 +379,7 @@
 			t.Parallel()
 			s := startTestGateway(t)
 			setFaults(target.Faults{
-				Raw: raw,
+				Raw: signed(raw),
 			}, s.engines[:2]...)
 			status, body, complete := s.read(s.send("id", "/long/a", "", "Waxwingpick-Token-Counts", "500,10"))
 			require.Equal(t, http.StatusOK, status)
@@ -426,7 +431,7 @@
 					BreakAfter: 1,
 					AfterRun: func() {
 						other.SetFaults(target.Faults{
-							Raw: raw,
+							Raw: signed(raw),
 						})
 					},
 				})
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -23,7 +23,7 @@
 
 var (
 	errUnsent       = eris.New("connection accepted no byte of the request")
-	errUnidentified = eris.New("response on a used connection does not name its request")
+	errUnidentified = eris.New("response does not name its request")
 )
 
 // Client sends requests to one address. It uses only fasthttp's encoding and decoding of messages, because fasthttp's
@@ -119,8 +119,8 @@
 	// Host replaces the address in the Host field; empty for the address.
 	Host string
 	// Echo is a field that the peer repeats in its response. A response with another value belongs to an earlier
-	// request and is discarded; one without the field may do so, unless its connection is new. It is empty for a peer that
-	// repeats no field.
+	// request and is discarded; one without the field, or with several values, is no answer of the peer. It is empty for a
+	// peer that repeats no field.
 	Echo Field
 }
 
@@ -167,7 +167,7 @@
 			return fmt.Errorf("%w: read response of %s: %w", waxwingpick.ErrEngineLost, c.pool.addr, a.withCause(err))
 		}
 		a.origin = a.originOf(r.Echo)
-		if a.origin == originUnknown && a.conn.used {
+		if a.origin == originUnknown {
 			return fmt.Errorf("%w: %s: %w", waxwingpick.ErrEngineLost, c.pool.addr, errUnidentified)
 		}
 		if a.origin != originForeign {
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -44,8 +44,6 @@
 	sent int
 	// ended is set once the peer has closed its side in order.
 	ended bool
-	// used is set once an exchange has ended.
-	used bool
 	// idleSince is when the previous exchange ended.
 	idleSince time.Time
 	// idleFor is how long the connection may stay idle before reuse.
--- a/internal/http1/foreign_test.go
+++ b/internal/http1/foreign_test.go
@@ -221,3 +221,30 @@
 		}
 	}
 }
+
+// TestResponseThatDoesNotNameItsRequestIsNoAnswer has the peer answer the first request of a connection without the request's ID,
+// as another program would.
+func TestResponseThatDoesNotNameItsRequestIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	for name, fields := range map[string]string{
+		"no ID":                  "",
+		"empty ID":               "Id:\r\n",
+		"two IDs":                "Id: mine\r\nId: other\r\n",
+		"two IDs, own one last":  "Id: other\r\nId: mine\r\n",
+		"ID, then an empty one":  "Id: mine\r\nId:\r\n",
+		"ID in the wrong letter": "Id: MINE\r\n",
+	} {
+		for _, stream := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s/%t", name, stream), func(t *testing.T) {
+				t.Parallel()
+				addr, _ := startResponder(t, func(int, string) string {
+					return "HTTP/1.1 200 OK\r\n" + fields + "Connection: close\r\nContent-Length: 3\r\n\r\nyes"
+				})
+				c := http1.New(addr, 1<<20)
+				defer c.Close()
+				_, err := sendWithEcho(t, c, "mine", stream)
+				require.ErrorIs(t, err, waxwingpick.ErrEngineLost)
+			})
+		}
+	}
+}
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -137,7 +137,7 @@
 type origin uint8
 
 const (
-	// originUnknown means that the response does not name its request, although the peer was to repeat the echo field.
+	// originUnknown means that the response does not name one request, although the peer was to repeat the echo field.
 	originUnknown origin = iota
 	originOwn
 	originForeign
@@ -145,12 +145,19 @@
 
 // originOf compares the response with the request's echo field. Peers without such a field send only own responses.
 func (a *Response) originOf(echo Field) origin {
-	switch named := a.resp.Header.Peek(echo.Name); {
-	case echo.Name == "":
+	if echo.Name == "" {
 		return originOwn
-	case len(named) == 0:
+	}
+	named := a.resp.Header.PeekAll(echo.Name)
+	if len(named) == 0 || len(named[0]) == 0 {
 		return originUnknown
-	case string(named) != echo.Value:
+	}
+	for _, other := range named[1:] {
+		if !bytes.Equal(other, named[0]) {
+			return originUnknown
+		}
+	}
+	if string(named[0]) != echo.Value {
 		return originForeign
 	}
 	return originOwn
@@ -210,7 +217,6 @@
 	switch {
 	case a.conn == nil:
 	case reusable:
-		a.conn.used = true
 		a.conn.idleFor = reusableFor
 		a.client.pool.put(a.conn, time.Now())
 	default:
