gateway: responses without end no longer use up the memory of the process

Each response was bounded by 8 MiB, but nothing bounded the sum over all requests: with the settings of a small machine (284 MB), 150 callers and targets that send bodies without end, a gateway reached 429 to 596 MB in 6 s. Large responses that nobody reads and half-sent requests did the same.

Cause: bounds were set for a request, the memory is that of the process; and fasthttp allocates a body of a stated length before its first byte.

Fix: core/membudget bounds what all requests of a gateway hold, by dynamic thresholds: a request may hold a quarter of what is free, so that those of normal size find room beside any number without end. Bodies and events ask before they are allocated, and the account of a request ends when its response is written. A request without room is refused as not run; one whose response finds none may have run, and its target is not blamed. Requests are read as streams for this; a cut one reaches no target (TestCutRequestReachesNoTarget).

Ruled out: first come, first served, which refuses requests of normal size (the naive rule in TestResponsesWithoutEndLeaveRoomForOthers).

--- a/inbound.go
+++ b/inbound.go
@@ -49,6 +49,8 @@
 	Prompt Prompt
 	// ResumeAfter is the ID of the last event that the caller received of a broken stream; empty for a new request.
 	ResumeAfter string
+	// Memory accounts for what is held for the request until its response is written; nil for no account.
+	Memory MemoryHold
 }
 
 // Outbound is the response to a caller.
--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/google/subcommands"
 	"github.com/valyala/fasthttp"
 
+	"waxwingpick/core/membudget"
 	"waxwingpick/core/timer"
 	"waxwingpick/internal/gateway"
 	"waxwingpick/internal/httpserver"
@@ -35,6 +36,9 @@
 	// heapFraction is the fraction of the process's memory that the Go runtime may use. The remainder is for stacks, kernel
 	// buffers and code.
 	heapFraction = 0.6
+	// heldFraction is the fraction of the process's memory that requests may hold together. The heap has room for as much
+	// garbage, and for what does not grow with the size of requests.
+	heldFraction = 0.2
 )
 
 var _ subcommands.Command = (*gatewayCommand)(nil)
@@ -151,6 +155,11 @@
 		return nil, err
 	}
 	metrics.LogDropped(lines.Dropped)
+	budget, err := membudget.New(int64(heldFraction * float64(boot.Memory)))
+	if err != nil {
+		return nil, fmt.Errorf("memory for requests: %w", err)
+	}
+	metrics.Memory(budget.Used, budget.Refused)
 	p.metrics = httpserver.New(&fasthttp.Server{
 		Handler:      metrics.Handler(),
 		ReadTimeout:  metricsTimeout,
@@ -184,7 +193,7 @@
 		return nil, err
 	}
 	log := lines.Logger().WithField("instance", boot.Instance)
-	p.callers = platform.NewCallerServer(p.gateway, p.timers, boot.Descriptors, log)
+	p.callers = platform.NewCallerServer(p.gateway, p.timers, boot.Descriptors, budget, log)
 	p.balancer = platform.NewReadinessServer(p.gateway, log)
 	return p, nil
 }
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -44,10 +44,10 @@
 	return s.unsent() && !s.canceled() || s.reply.Misdirected || errors.Is(s.err, waxwingpick.ErrMisdirected)
 }
 
-// unresponsive reports whether the target failed to respond although neither the deadline nor the caller ended the
-// attempt.
+// unresponsive reports whether the target failed to respond although neither the deadline, the caller nor a lack of memory ended
+// the attempt.
 func (s sendResult) unresponsive() bool {
-	return s.err != nil && !s.canceled() && !errors.Is(s.err, waxwingpick.ErrEngineRefused)
+	return s.err != nil && !s.canceled() && !errors.Is(s.err, waxwingpick.ErrEngineRefused) && !errors.Is(s.err, waxwingpick.ErrMemory)
 }
 
 // canceled reports whether the attempt failed because its deadline passed or its caller disconnected.
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -122,6 +122,8 @@
 	// request and is discarded; one without the field, or with several values, is no answer of the peer. It is empty for a
 	// peer that repeats no field.
 	Echo Field
+	// Memory accounts for what Response.Body reads; nil for no account.
+	Memory waxwingpick.MemoryHold
 }
 
 // Field is one header field.
@@ -143,6 +145,7 @@
 		req:    fasthttp.AcquireRequest(),
 		resp:   fasthttp.AcquireResponse(),
 		fresh:  r.Fresh || c.singleUse,
+		memory: r.Memory,
 	}
 	c.fill(a.req, r)
 	if err := c.exchange(a, r); err != nil {
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -42,8 +42,6 @@
 	received int64
 	// sent is the number of bytes of the current request that were written.
 	sent int
-	// ended is set once the peer has closed its side in order.
-	ended bool
 	// idleSince is when the previous exchange ended.
 	idleSince time.Time
 	// idleFor is how long the connection may stay idle before reuse.
@@ -99,7 +97,6 @@
 func (c *conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.received += int64(n)
-	c.ended = c.ended || errors.Is(err, io.EOF)
 	return n, err
 }
 
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -30,6 +30,7 @@
 	origin        origin
 	// complete is set once the body was read to its end.
 	complete bool
+	memory   waxwingpick.MemoryHold
 	// fresh means that no other exchange uses the connection.
 	fresh bool
 
@@ -44,13 +45,9 @@
 	return a.resp.StatusCode()
 }
 
-// Framing returns how the peer stated where the body ends. Of a body that is not streamed, it is known only whether the
-// connection ended it.
+// Framing returns how the peer stated where a streamed body ends.
 func (a *Response) Framing() waxwingpick.Framing {
 	switch n := a.resp.Header.ContentLength(); {
-	case !a.resp.IsBodyStream() && a.conn.ended:
-		// fasthttp has replaced the length by that of the body.
-		return waxwingpick.FramingConnection
 	case !a.resp.IsBodyStream():
 		return waxwingpick.FramingUnknown
 	case n >= 0:
@@ -83,12 +80,9 @@
 	if !a.resp.IsBodyStream() {
 		return bytes.Clone(a.resp.Body()), nil
 	}
-	body, err := io.ReadAll(io.LimitReader(a, int64(limit)+1))
+	body, err := ReadBody(a, a.resp.Header.ContentLength(), limit, a.memory)
 	if err != nil {
-		return nil, fmt.Errorf("%w: read body: %w", waxwingpick.ErrEngineLost, err)
-	}
-	if len(body) > limit {
-		return nil, fmt.Errorf("%w: body of more than %d bytes", waxwingpick.ErrEngineLost, limit)
+		return nil, fmt.Errorf("%w: %w", waxwingpick.ErrEngineLost, err)
 	}
 	return body, nil
 }
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -15,17 +15,20 @@
 	server *fasthttp.Server
 	ln     net.Listener
 	wg     conc.WaitGroup
+	// observe is the server's own ConnState; nil if it has none.
+	observe func(net.Conn, fasthttp.ConnState)
 
 	mu      sync.Mutex
 	idle    map[net.Conn]struct{}
 	stopped bool
 }
 
-// New returns a server that does not listen yet. It takes ownership of the fasthttp server and sets its ConnState.
+// New returns a server that does not listen yet. It takes ownership of the fasthttp server and wraps its ConnState.
 func New(server *fasthttp.Server) *Server {
 	s := &Server{
-		server: server,
-		idle:   make(map[net.Conn]struct{}),
+		server:  server,
+		observe: server.ConnState,
+		idle:    make(map[net.Conn]struct{}),
 	}
 	server.ConnState = s.trackState
 	return s
@@ -66,6 +69,9 @@
 
 // trackState tracks which connections have no running request.
 func (s *Server) trackState(conn net.Conn, state fasthttp.ConnState) {
+	if s.observe != nil {
+		s.observe(conn, state)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -58,6 +58,8 @@
 	AfterRaw func()
 	// Identity is what the target says of its incarnation, unless it is nil.
 	Identity *Identity
+	// Flood makes some responses have no end, unless it is nil.
+	Flood *Flood
 	// WriteFirst is written before each response on a connection that was used before, as a faulty target writes an earlier
 	// response again.
 	WriteFirst string
@@ -78,6 +80,25 @@
 	CrashAfter  int
 }
 
+// Flood is a response without end: a head with further fields, and then one piece after another until the caller closes the
+// connection.
+type Flood struct {
+	Fields string
+	Piece  string
+	Pause  time.Duration
+	// Every makes each run of that many respond so.
+	Every int
+}
+
+// write writes the response to a request.
+func (f *Flood) write(w io.Writer, request, stamp string) {
+	_, err := fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nWaxwingpick-Request-Id: %s\r\nWaxwingpick-Server-Stamp: %s\r\n%s\r\n", request, stamp, f.Fields)
+	for err == nil {
+		_, err = io.WriteString(w, f.Piece)
+		time.Sleep(f.Pause)
+	}
+}
+
 // Identity is what a target says of its incarnation.
 type Identity struct {
 	ID              string
@@ -286,7 +307,7 @@
 		c.Set("Waxwingpick-Not-Executed", "1")
 		return c.SendStatus(http.StatusServiceUnavailable)
 	}
-	t.recordRun(c)
+	runs := t.recordRun(c)
 	if faults.WriteFirst != "" && c.RequestCtx().ConnRequestNum() > 1 {
 		if _, err := io.WriteString(c.RequestCtx().Conn(), faults.WriteFirst); err != nil {
 			return fmt.Errorf("write an earlier response: %w", err)
@@ -300,6 +321,12 @@
 		t.Crash()
 		return c.SendStatus(http.StatusServiceUnavailable)
 	}
+	if f := faults.Flood; f != nil && runs%f.Every == 0 {
+		id := strings.Clone(c.Get("Waxwingpick-Request-Id"))
+		c.RequestCtx().HijackSetNoResponse(true)
+		c.RequestCtx().Hijack(func(conn net.Conn) { f.write(conn, id, "stamp-of-"+t.id) })
+		return nil
+	}
 	if faults.Raw != "" {
 		c.RequestCtx().HijackSetNoResponse(true)
 		c.RequestCtx().Hijack(func(conn net.Conn) {
@@ -342,7 +369,8 @@
 	})
 }
 
-func (t *Target) recordRun(c fiber.Ctx) {
+// recordRun records a run and returns how many there were.
+func (t *Target) recordRun(c fiber.Ctx) int {
 	r := Run{
 		ID:      strings.Clone(c.Get("Waxwingpick-Request-Id")),
 		Method:  strings.Clone(c.Method()),
@@ -356,6 +384,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.runs = append(t.runs, r)
+	return len(t.runs)
 }
 
 // stream sends the events after the one that Last-Event-Id names, or all events. If breakAfter is not zero, it calls
--- a/io/plain/client.go
+++ b/io/plain/client.go
@@ -78,6 +78,8 @@
 		Header:  http1.EndToEnd(fieldsOf(req.Headers)),
 		Body:    req.Body,
 		Timeout: c.cfg.timeout,
+		// The framing of a body that the client reads whole is not known afterwards.
+		Stream: true,
 	})
 	if err != nil {
 		return none, fmt.Errorf("call %s %.256q: %w", req.Method, req.Path, err)
--- a/io/prometheus/gateway.go
+++ b/io/prometheus/gateway.go
@@ -98,6 +98,21 @@
 	registerDropped(g.registry, dropped)
 }
 
+// Memory exports the bytes that requests hold, and how often a request was refused more.
+func (g *Gateway) Memory(used func() int64, refused func() uint64) {
+	// Register fails only for a second budget of the process. The first one stays registered.
+	_ = g.registry.Register(client.NewGaugeFunc(client.GaugeOpts{
+		Namespace: namespace,
+		Name:      "gateway_held_bytes",
+		Help:      "Bytes of requests and responses that are held.",
+	}, func() float64 { return float64(used()) }))
+	_ = g.registry.Register(client.NewCounterFunc(client.CounterOpts{
+		Namespace: namespace,
+		Name:      "gateway_memory_refusals_total",
+		Help:      "Requests and responses that would have held too much memory.",
+	}, func() float64 { return float64(refused()) }))
+}
+
 // Began counts a running request. Ended must follow.
 func (g *Gateway) Began() {
 	g.running.Inc()
--- a/target.go
+++ b/target.go
@@ -56,8 +56,7 @@
 type Dispatched struct {
 	Status  int
 	Headers []Header
-	// Framing is how the target stated where the body ends. It is FramingUnknown for a body that was received completely
-	// before the connection ended.
+	// Framing is how the target stated where the body ends; FramingUnknown for a response without one.
 	Framing Framing
 	Body    []byte
 	// Events is the body of a streamed response; nil for a complete one.
