--- a/internal/daemon/noanswer_test.go
+++ b/internal/daemon/noanswer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -78,3 +79,40 @@
 		})
 	}
 }
+
+// TestResponseCutInItsHeadReachesNoCaller closes the connection in order after every byte of a response's head. The caller must get
+// neither a success nor a refusal that promises that the request has not run.
+func TestResponseCutInItsHeadReachesNoCaller(t *testing.T) {
+	t.Parallel()
+	for name, head := range map[string]string{
+		"connection":  "HTTP/1.1 200 OK\r\n\r\n",
+		"length":      "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\n",
+		"chunks":      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+		"stream":      "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n",
+		"line feeds":  "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"unavailable": "HTTP/1.1 503 Service Unavailable\r\nWaxwingpick-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s := startTestGateway(t)
+			head := signed(head)
+			if name == "line feeds" {
+				head = strings.ReplaceAll(head, "\r\n", "\n")
+			}
+			for cut := 1; cut < len(head); cut++ {
+				for path, targets := range map[string][]*target.Target{
+					"/order/1": s.services,
+					"/long/1":  s.engines[:2],
+				} {
+					setFaults(target.Faults{
+						Raw: head[:cut],
+					}, targets...)
+					before := len(s.runs())
+					status, body, _ := s.read(s.send("id", path, "", "Waxwingpick-Token-Counts", "500,10"))
+					require.Equal(t, http.StatusBadGateway, status, "%s, %q: %s", path, head[:cut], body)
+					require.Len(t, s.runs(), before+1)
+				}
+			}
+		})
+	}
+}
--- a/io/plain/foreign_test.go
+++ b/io/plain/foreign_test.go
@@ -61,23 +61,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			ln, err := net.Listen("tcp", loopback.AnyPort())
-			require.NoError(t, err)
-			t.Cleanup(func() { ln.Close() })
-			go func() {
-				conn, err := ln.Accept()
-				if err != nil {
-					return
-				}
-				defer conn.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-					_, _ = io.WriteString(conn, tc.raw)
-				}
-			}()
-			c, err := plain.New(ln.Addr().String())
-			require.NoError(t, err)
-			t.Cleanup(c.Close)
-			_, err = c.Call(t.Context(), booking(http.MethodGet, "/bookings/1", ""))
+			err := callRaw(t, tc.raw)
 			if tc.complete {
 				require.NoError(t, err)
 				return
@@ -87,6 +71,48 @@
 	}
 }
 
+// TestResponseCutInItsHeadIsNoAnswer has a service close its connection in order after every byte of a response's head.
+func TestResponseCutInItsHeadIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	for _, head := range []string{
+		"HTTP/1.1 200 OK\r\n\r\n",
+		"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 200 OK\nContent-Length: 0\n\n",
+		"HTTP/1.1 204 No Content\r\nX-Booking: b1\r\n\r\n",
+		"HTTP/1.1 503 Service Unavailable\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n",
+	} {
+		for cut := range len(head) {
+			t.Run(fmt.Sprintf("%q", head[:cut]), func(t *testing.T) {
+				t.Parallel()
+				require.ErrorIs(t, callRaw(t, head[:cut]), waxwingpick.ErrEngineLost)
+			})
+		}
+	}
+}
+
+// callRaw calls a service that writes raw bytes and closes its connection in order.
+func callRaw(t *testing.T, raw string) error {
+	t.Helper()
+	ln, err := net.Listen("tcp", loopback.AnyPort())
+	require.NoError(t, err)
+	t.Cleanup(func() { ln.Close() })
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer conn.Close()
+		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
+			_, _ = io.WriteString(conn, raw)
+		}
+	}()
+	c, err := plain.New(ln.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(c.Close)
+	_, err = c.Call(t.Context(), booking(http.MethodGet, "/bookings/1", ""))
+	return err
+}
+
 // respondTwice responds to each request of a connection with its path, and before that with all earlier responses.
 func respondTwice(c net.Conn) {
 	defer c.Close()
