gateway: requests that outlast a planned stop get an answer

A stopping gateway takes requests for a time, also such that may outlast the process. At its end it closed their connections, so that callers of requests that had run got nothing, and a request counted as ended when its handler returned, before its response was written.

Fix: at the end, the requests that still run are ended with what is known of them (502 if they may have run, 503 if not), and the process waits for its responses to be written, within its time.

Not reproduced: requests that come late in the grace, are passed on and cut; by reading they are refused (EnterFor).

--- a/internal/daemon/gateway.go
+++ b/internal/daemon/gateway.go
@@ -31,6 +31,9 @@
 	lameDuckFraction = 0.6
 	// killMargin is the time between the end of an orderly stop and the moment at which the platform kills the process.
 	killMargin = 700 * time.Millisecond
+	// responseTimeout is the time to write the responses of requests that are ended at the end of the grace period. It is
+	// shorter than killMargin.
+	responseTimeout = 400 * time.Millisecond
 	// metricsTimeout limits reading a request for the metrics and writing the response.
 	metricsTimeout = 5 * time.Second
 	// heapFraction is the fraction of the process's memory that the Go runtime may use. The remainder is for stacks, kernel
@@ -211,13 +214,20 @@
 	return errors.Join(p.balancer.Start(p.boot.Balancer), p.callers.Start(p.boot.Callers))
 }
 
-// Stop waits for running requests and closes all connections. It aborts requests that still
-// run shortly before the platform kills the process.
+// Stop waits for running requests and closes all connections. Shortly before the platform kills the process, the requests that
+// still run are ended with what is known of them.
 func (p *gatewayProcess) Stop(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, stopTimeout(p.boot.Grace))
+	draining, cancel := context.WithTimeout(ctx, stopTimeout(p.boot.Grace))
 	defer cancel()
-	p.gateway.Drain(ctx)
-	err := errors.Join(p.callers.Stop(), p.gateway.Stop())
+	p.gateway.Drain(draining)
+	p.gateway.Abort()
+	err := p.callers.Stop()
+	// A request has ended before its response is written.
+	p.callers.Await(draining)
+	writing, cancelWriting := context.WithTimeout(context.WithoutCancel(ctx), responseTimeout)
+	defer cancelWriting()
+	p.callers.Await(writing)
+	err = errors.Join(err, p.gateway.Stop())
 	p.targets.Close()
 	p.store.Close()
 	p.timers.Close()
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -68,7 +68,10 @@
 // choose selects the targets of the next attempt, or returns the reason why there are none.
 func (x *exchange) choose() (selection, *waxwingpick.Refusal) {
 	now := x.process.timers.Now()
-	if err := x.ctx.Err(); err != nil {
+	switch err := x.ctx.Err(); {
+	case err != nil && x.process.requests.Err() != nil:
+		return selection{}, waxwingpick.NotRun(waxwingpick.ReasonStopping, noTargetRetry, "the process ends")
+	case err != nil:
 		return selection{}, waxwingpick.NotRun(waxwingpick.ReasonDeadline, 0, err.Error())
 	}
 	if refusal := x.crashSuspect(now); refusal != nil {
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -56,8 +56,11 @@
 
 	lifecycle context.Context
 	cancel    context.CancelFunc
-	loops     conc.WaitGroup
-	stops     []func()
+	// requests ends when Abort ends all running requests.
+	requests context.Context
+	abort    context.CancelFunc
+	loops    conc.WaitGroup
+	stops    []func()
 }
 
 // New returns a gateway that does not serve yet.
@@ -81,6 +84,7 @@
 	p.crashTracker = newCrashTracker(p)
 	p.endChecker = newEndChecker(p)
 	p.lifecycle, p.cancel = context.WithCancel(context.Background())
+	p.requests, p.abort = context.WithCancel(context.Background())
 	return p, nil
 }
 
@@ -113,6 +117,14 @@
 	p.gate.Await(ctx, p.timers)
 }
 
+// Abort ends the requests that still run, because the process is about to end. Each fails with what is known of its run.
+func (p *Process) Abort() {
+	if running := p.gate.Running(); running > 0 {
+		p.log.WithField("running", running).Warn("entry ends the requests that still run")
+	}
+	p.abort()
+}
+
 // Stop ends the process, including requests that still run. It returns an error if there were any.
 func (p *Process) Stop() error {
 	running := p.gate.Running()
--- a/internal/gateway/serve.go
+++ b/internal/gateway/serve.go
@@ -32,14 +32,16 @@
 
 // exchange is the processing of one caller's request.
 type exchange struct {
-	process   *Process
-	in        *waxwingpick.Inbound
-	route     routetable.Route
-	service   *service
-	parts     placement.Parts
-	trail     *trail.Trail
-	ctx       context.Context
-	cancel    context.CancelFunc
+	process *Process
+	in      *waxwingpick.Inbound
+	route   routetable.Route
+	service *service
+	parts   placement.Parts
+	trail   *trail.Trail
+	ctx     context.Context
+	cancel  context.CancelFunc
+	// stopAbort ends the request's dependence on Process.Abort.
+	stopAbort func() bool
 	callerCtx context.Context
 	deadline  time.Time
 	gateID    string
@@ -121,6 +123,7 @@
 		return p.reject(t, refusal)
 	}
 	x.ctx, x.cancel = context.WithDeadline(ctx, x.deadline)
+	x.stopAbort = context.AfterFunc(p.requests, x.cancel)
 	p.options.Metrics.Began()
 	x.recordAccepted(now, table.Version())
 	return x.run()
@@ -203,8 +206,11 @@
 	}
 	final := *refusal
 	final.Outcome = waxwingpick.OutcomeUnknown
-	if errors.Is(x.ctx.Err(), context.DeadlineExceeded) {
+	switch {
+	case errors.Is(x.ctx.Err(), context.DeadlineExceeded):
 		final.Reason = waxwingpick.ReasonDeadline
+	case x.process.requests.Err() != nil:
+		final.Reason = waxwingpick.ReasonStopping
 	}
 	return &final
 }
@@ -217,6 +223,7 @@
 	}
 	x.recordEnd(refusal)
 	x.releaseCache()
+	x.stopAbort()
 	x.cancel()
 	x.process.gate.Done(x.gateID)
 }
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -1,6 +1,7 @@
 package httpserver
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"sync"
@@ -21,6 +22,9 @@
 	mu      sync.Mutex
 	idle    map[net.Conn]struct{}
 	stopped bool
+	// active holds the connections with a running request. none is closed when there is none; it is nil unless Await waits.
+	active map[net.Conn]struct{}
+	none   chan struct{}
 }
 
 // New returns a server that does not listen yet. It takes ownership of the fasthttp server and wraps its ConnState.
@@ -29,6 +33,7 @@
 		server:  server,
 		observe: server.ConnState,
 		idle:    make(map[net.Conn]struct{}),
+		active:  make(map[net.Conn]struct{}),
 	}
 	server.ConnState = s.trackState
 	return s
@@ -44,7 +49,7 @@
 }
 
 // Stop stops listening and closes the connections without a running request. Other connections are closed after their
-// requests.
+// requests, for which Await waits.
 func (s *Server) Stop() error {
 	if s.ln == nil {
 		return nil
@@ -58,6 +63,22 @@
 	return nil
 }
 
+// Await waits until the responses to all running requests are written, or ctx ends.
+func (s *Server) Await(ctx context.Context) {
+	s.mu.Lock()
+	if len(s.active) == 0 {
+		s.mu.Unlock()
+		return
+	}
+	none := make(chan struct{})
+	s.none = none
+	s.mu.Unlock()
+	select {
+	case <-none:
+	case <-ctx.Done():
+	}
+}
+
 func (s *Server) closeIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -75,13 +96,27 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
+	case fasthttp.StateActive:
+		delete(s.idle, conn)
+		s.active[conn] = struct{}{}
 	case fasthttp.StateNew, fasthttp.StateIdle:
+		s.endActive(conn)
 		if s.stopped {
 			conn.Close()
 			return
 		}
 		s.idle[conn] = struct{}{}
-	case fasthttp.StateActive, fasthttp.StateHijacked, fasthttp.StateClosed:
+	case fasthttp.StateHijacked, fasthttp.StateClosed:
+		s.endActive(conn)
 		delete(s.idle, conn)
 	}
 }
+
+// endActive records that a connection has no running request. mu is held.
+func (s *Server) endActive(conn net.Conn) {
+	delete(s.active, conn)
+	if len(s.active) == 0 && s.none != nil {
+		close(s.none)
+		s.none = nil
+	}
+}
--- a/internal/httpserver/server_test.go
+++ b/internal/httpserver/server_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -75,3 +76,29 @@
 	close(release)
 	require.Equal(t, "whole", <-responses)
 }
+
+// TestAwaitWaitsForResponsesThatAreBeingWritten stops a server while a client has not read a large response, whose handler has
+// returned.
+func TestAwaitWaitsForResponsesThatAreBeingWritten(t *testing.T) {
+	const size = 64 << 20
+	s, addr := start(t, func(ctx *fasthttp.RequestCtx) {
+		ctx.Response.SetBodyRaw(make([]byte, size))
+	})
+	c, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	require.NoError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	require.NoError(t, s.Stop())
+	short, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	s.Await(short)
+	require.Error(t, short.Err(), "the response is not written yet")
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Len(t, body, size)
+	s.Await(t.Context())
+}
