--- a/core/targetlist/list.go
+++ b/core/targetlist/list.go
@@ -36,6 +36,69 @@
 	unavailable bool
 	// availableSince is when the service last returned from an outage; zero if it has been available all the time.
 	availableSince time.Time
+	// events holds what happened since the last call of TakeEvents.
+	events []Event
+}
+
+// EventKind is what happened to a target of the list.
+type EventKind uint8
+
+// The kinds of events.
+const (
+	// EventLeaving means that a target reported that it leaves.
+	EventLeaving EventKind = iota
+	// EventRemoved means that a target was removed.
+	EventRemoved
+	// EventRemovalDelayed means that an entry is missing, and that its target is removed after the grace period.
+	EventRemovalDelayed
+	// EventReturned means that a missing entry was written again within the grace period.
+	EventReturned
+)
+
+// String returns the name used in logs and metrics.
+func (k EventKind) String() string {
+	switch k {
+	case EventLeaving:
+		return "leaving"
+	case EventRemoved:
+		return "removed"
+	case EventRemovalDelayed:
+		return "removalDelayed"
+	default:
+		return "returned"
+	}
+}
+
+// Event is a change of what is known of a target.
+type Event struct {
+	Kind   EventKind
+	Target waxwingpick.Target
+	// Missing is how long the entry has been missing.
+	Missing time.Duration
+}
+
+// maxEvents bounds the events that are kept; a list may be replaced completely.
+const maxEvents = 1024
+
+// TakeEvents returns the events since the last call, in order.
+func (l *List) TakeEvents() []Event {
+	events := l.events
+	l.events = nil
+	return events
+}
+
+func (l *List) record(kind EventKind, r row, now time.Time) {
+	if len(l.events) >= maxEvents {
+		return
+	}
+	e := Event{
+		Kind:   kind,
+		Target: r.target,
+	}
+	if !r.missingSince.IsZero() && !now.IsZero() {
+		e.Missing = now.Sub(r.missingSince)
+	}
+	l.events = append(l.events, e)
 }
 
 type row struct {
@@ -108,9 +171,17 @@
 	}
 	delete(l.held, t.ID)
 	delete(l.gone, t.ID)
-	l.rows[t.ID] = row{
+	known, ok := l.rows[t.ID]
+	r := row{
 		target: t,
 	}
+	l.rows[t.ID] = r
+	if ok && !known.missingSince.IsZero() {
+		l.record(EventReturned, r, time.Time{})
+	}
+	if t.Leaving && (!ok || !known.target.Leaving) {
+		l.record(EventLeaving, r, time.Time{})
+	}
 }
 
 // Remove records that the entry of a target is missing.
@@ -127,6 +198,7 @@
 	if r.missingSince.IsZero() {
 		r.missingSince = now
 		l.rows[id] = r
+		l.record(EventRemovalDelayed, r, now)
 	}
 }
 
@@ -141,6 +213,7 @@
 			at:     now,
 		}
 	}
+	l.record(EventRemoved, l.rows[id], now)
 	delete(l.rows, id)
 }
 
--- a/core/targetlist/list_test.go
+++ b/core/targetlist/list_test.go
@@ -1,6 +1,8 @@
 package targetlist_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -54,6 +56,34 @@
 	require.False(t, l.Expire(back.Add(time.Minute)))
 }
 
+func TestEventsTellWhyATargetIsKept(t *testing.T) {
+	l := targetlist.New()
+	leaving := target("a")
+	leaving.Leaving = true
+	l.Replace(start, []waxwingpick.Target{target("a"), target("back"), target("gone")})
+	l.MarkUnavailable()
+	l.Put(leaving)
+	l.Put(leaving)
+	l.MarkAvailable(start)
+	l.Replace(start, nil)
+	l.Put(target("back"))
+	l.Expire(start.Add(targetlist.RemovalGrace))
+	var told []string
+	for _, e := range l.TakeEvents() {
+		told = append(told, fmt.Sprint(e.Target.ID, " ", e.Kind, " ", e.Missing))
+	}
+	slices.Sort(told[1:4])
+	require.Equal(t, []string{
+		"a leaving 0s",
+		"a removed 0s",
+		"back removalDelayed 0s",
+		"gone removalDelayed 0s",
+		"back returned 0s",
+		"gone removed 1.9s",
+	}, told)
+	require.Empty(t, l.TakeEvents())
+}
+
 func TestLeavingTargetIsRemovedDuringAnOutage(t *testing.T) {
 	l := targetlist.New()
 	leaving := target("a")
--- a/internal/gateway/dutyhost.go
+++ b/internal/gateway/dutyhost.go
@@ -252,6 +252,7 @@
 	})
 }
 
+func (h *dutyHost) batchBegins(origin)  {}
 func (h *dutyHost) serviceDown()        {}
 func (h *dutyHost) serviceUp(time.Time) {}
 func (h *dutyHost) batchApplied()       {}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -11,7 +11,6 @@
 
 	"waxwingpick"
 	"waxwingpick/core/feed"
-
 	"waxwingpick/core/timer"
 	"waxwingpick/internal/dependency"
 )
@@ -31,6 +30,8 @@
 // sink receives the keys with one prefix.
 type sink interface {
 	prefix() string
+	// batchBegins tells where the keys that are applied next come from.
+	batchBegins(o origin)
 	// replace applies the complete set of keys; put and remove apply one change.
 	replace(entries []waxwingpick.Entry)
 	put(e waxwingpick.Entry)
@@ -44,6 +45,34 @@
 	batchApplied()
 }
 
+// Sources of a batch of changes other than another gateway.
+const (
+	// sourceSnapshot is a reading of all keys, sourceChanges a response with the latest changes.
+	sourceSnapshot = "snapshot"
+	sourceChanges  = "changes"
+	// sourceGraceEnd is the end of the grace period of missing entries.
+	sourceGraceEnd = "graceEnd"
+)
+
+// origin is where a batch of changes comes from.
+type origin struct {
+	// source is the ID of another gateway, or a source constant.
+	source   string
+	position waxwingpick.Position
+	// age is the time since this process was last known to hold all changes.
+	age time.Duration
+}
+
+// fields returns the log fields of the origin.
+func (o origin) fields() logrus.Fields {
+	return logrus.Fields{
+		"source":    o.source,
+		"era":       o.position.Era,
+		"upTo":      o.position.Revision,
+		"ageMillis": o.age.Milliseconds(),
+	}
+}
+
 // follower keeps sinks up to date with the key-value service, either by its own calls or from the updates of other
 // gateways.
 type follower struct {
@@ -189,6 +218,7 @@
 	defer f.mu.Unlock()
 	now := f.process.timers.Now()
 	before := f.feed.Position()
+	age := f.feed.Age(now)
 	if !f.feed.ApplySnapshot(now, entries, at) {
 		return
 	}
@@ -202,8 +232,14 @@
 			s.serviceRestored(now)
 		}
 	}
-	f.markAvailable(now)
+	f.markAvailable(now, sourceSnapshot)
+	o := origin{
+		source:   sourceSnapshot,
+		position: at,
+		age:      age,
+	}
 	for _, s := range f.sinks {
+		s.batchBegins(o)
 		var matching []waxwingpick.Entry
 		for _, e := range entries {
 			if strings.HasPrefix(e.Key, s.prefix()) {
@@ -220,9 +256,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.process.timers.Now()
+	age := f.feed.Age(now)
 	fresh := f.feed.ApplyChanges(now, after, changes, at)
-	f.markAvailable(now)
-	f.apply(fresh)
+	f.markAvailable(now, sourceChanges)
+	f.apply(fresh, origin{
+		source:   sourceChanges,
+		position: at,
+		age:      age,
+	})
 	return len(fresh) > 0
 }
 
@@ -233,9 +274,13 @@
 	age := f.feed.Age(now)
 	fresh := f.feed.ApplyUpdate(now, n)
 	if f.feed.Age(now) < age {
-		f.markAvailable(now)
+		f.markAvailable(now, string(n.From))
 	}
-	f.apply(fresh)
+	f.apply(fresh, origin{
+		source:   string(n.From),
+		position: f.feed.Position(),
+		age:      age,
+	})
 }
 
 // update returns the update for other gateways; false if this process does not read changes itself.
@@ -249,13 +294,19 @@
 }
 
 // markAvailable notifies the sinks that the service responds, and of outages that this process did not observe itself.
-func (f *follower) markAvailable(now time.Time) {
+func (f *follower) markAvailable(now time.Time, source string) {
 	at := now
 	recoveredAt := f.feed.RecoveredAt()
 	missed := recoveredAt.After(f.recoveredAt)
 	if missed {
 		f.recoveredAt = recoveredAt
 		at = recoveredAt
+		f.process.log.WithFields(logrus.Fields{
+			"source":    source,
+			"era":       f.feed.Position().Era,
+			"revision":  f.feed.Position().Revision,
+			"agoMillis": now.Sub(recoveredAt).Milliseconds(),
+		}).Info("key-value service available again")
 	}
 	for _, s := range f.sinks {
 		if missed {
@@ -277,8 +328,12 @@
 }
 
 // apply passes changes to the sinks.
-func (f *follower) apply(changes []waxwingpick.KeyChange) {
+func (f *follower) apply(changes []waxwingpick.KeyChange, o origin) {
+	if len(changes) == 0 {
+		return
+	}
 	for _, s := range f.sinks {
+		s.batchBegins(o)
 		applied := false
 		for _, c := range changes {
 			switch {
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -120,6 +120,7 @@
 	}
 }
 
+func (s *peers) batchBegins(origin)  {}
 func (s *peers) serviceDown()        {}
 func (s *peers) serviceUp(time.Time) {}
 
--- a/internal/gateway/sinks.go
+++ b/internal/gateway/sinks.go
@@ -12,8 +12,11 @@
 // routesSink activates configurations.
 type routesSink struct {
 	process *Process
+	origin  origin
 }
 
+func (s *routesSink) batchBegins(o origin) { s.origin = o }
+
 func (s *routesSink) prefix() string {
 	return s.process.options.Catalog.RoutesPrefix
 }
@@ -35,18 +38,18 @@
 		return
 	}
 	if ok {
-		p.apply(t, e.Revision)
+		p.apply(t, e.Revision, s.origin)
 	}
 }
 
 // apply activates a configuration, unless a newer one is active.
-func (p *Process) apply(t *routetable.Table, revision int64) {
+func (p *Process) apply(t *routetable.Table, revision int64, o origin) {
 	if current := p.table.Load(); current != nil && current.Version() >= t.Version() {
 		return
 	}
 	p.table.Store(t)
 	p.options.Metrics.Version(t.Version())
-	p.log.WithFields(logrus.Fields{
+	p.log.WithFields(o.fields()).WithFields(logrus.Fields{
 		"version":  t.Version(),
 		"revision": revision,
 	}).Info("configuration in force")
@@ -65,8 +68,11 @@
 // targetsSink maintains the list of targets.
 type targetsSink struct {
 	process *Process
+	origin  origin
 }
 
+func (s *targetsSink) batchBegins(o origin) { s.origin = o }
+
 func (s *targetsSink) prefix() string {
 	return s.process.options.Catalog.TargetsPrefix
 }
@@ -137,15 +143,35 @@
 }
 
 func (s *targetsSink) batchApplied() {
+	s.process.logTargets(s.origin)
 	s.process.updateServices()
 }
 
+// logTargets logs and counts what the list has learned of targets.
+func (p *Process) logTargets(o origin) {
+	p.listMu.Lock()
+	events := p.list.TakeEvents()
+	p.listMu.Unlock()
+	for _, e := range events {
+		p.options.Metrics.TargetEvent(e.Kind.String())
+		fields := o.fields()
+		fields["target"] = e.Target.ID
+		fields["service"] = e.Target.Service
+		fields["change"] = e.Kind.String()
+		fields["missingMillis"] = e.Missing.Milliseconds()
+		p.log.WithFields(fields).Info("target of the list changed")
+	}
+}
+
 // expireTargets drops the targets whose entries were not written again after an outage.
 func (p *Process) expireTargets(now time.Time) {
 	p.listMu.Lock()
 	dropped := p.list.Expire(now)
 	p.listMu.Unlock()
 	if dropped {
+		p.logTargets(origin{
+			source: sourceGraceEnd,
+		})
 		p.updateServices()
 	}
 }
--- a/io/prometheus/gateway.go
+++ b/io/prometheus/gateway.go
@@ -36,6 +36,7 @@
 	feedAge    client.Gauge
 	reportAge  client.Histogram
 	targets    *client.GaugeVec
+	listEvents *client.CounterVec
 	statements *client.CounterVec
 	stated     *client.GaugeVec
 	crashes    client.Counter
@@ -78,6 +79,7 @@
 			Buckets:   reportAgeBuckets,
 		}),
 		targets:    gauge("gateway_targets", "Targets of the platform's list by state.", "service", "state"),
+		listEvents: counter("gateway_target_list_changes_total", "Targets of the platform's list that were found to leave, to be missing, back or removed.", "change"),
 		statements: counter("gateway_statements_total", "Responses in which a target states something about itself, by kind.", "service", "kind"),
 		stated:     gauge("gateway_stated_targets", "Targets by the statements about themselves that apply.", "kind"),
 		crashes:    unlabeledCounter("gateway_target_crashes_total", "Crashes of targets that this gateway detected."),
@@ -97,7 +99,7 @@
 		g.requests, g.responses, g.firstEvent, g.refused, g.retries, g.attempts, g.running, g.version, g.peers, g.sharing,
 		g.feedReads, g.feedAge, g.reportAge, g.targets, g.statements, g.stated, g.crashes, g.inFlight,
 		g.verdicts, g.suspects, g.streamEnds, g.endChecks, g.era, g.lingers, g.keys, g.duties, g.tokens, g.windows, g.window,
-		g.zoneShares, g.zoneSent,
+		g.zoneShares, g.zoneSent, g.listEvents,
 	} {
 		if err := g.registry.Register(c); err != nil {
 			return nil, fmt.Errorf("register metrics: %w", err)
@@ -260,6 +262,11 @@
 	g.targets.WithLabelValues(label, "leaving").Set(float64(leaving))
 }
 
+// TargetEvent counts a change of what is known of a target of the platform's list.
+func (g *Gateway) TargetEvent(change string) {
+	g.listEvents.WithLabelValues(change).Inc()
+}
+
 // Statement counts a response in which a target states something about itself, by kind.
 func (g *Gateway) Statement(service waxwingpick.ServiceName, s waxwingpick.Statement) {
 	_, limited := s.RequestLimit.Get()
