feed: a removal no longer hides the last write before it

Callers' requests reached targets that had reported that they leave. Of several changes of a key in one response, only the last one was applied. A gateway that had missed both the report of a target and the removal of its entry applied the removal alone, and delayed it as if the entry had expired in an outage. A removal is now preceded by the last write before it.

--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -301,7 +301,8 @@
 	return f.returned
 }
 
-// apply applies changes up to a position that continue the local one, and returns the latest new change of each key.
+// apply applies changes up to a position that continue the local one, and returns the latest new change of each key, and the
+// one before a removal: what an entry last said may decide how its removal is taken.
 func (f *Feed) apply(changes []waxwingpick.KeyChange, to waxwingpick.Position) []waxwingpick.KeyChange {
 	var newest []waxwingpick.KeyChange
 	at := make(map[string]int)
@@ -315,7 +316,7 @@
 		} else {
 			f.keyRevisions[c.Key] = c.Revision
 		}
-		if i, ok := at[c.Key]; ok {
+		if i, ok := at[c.Key]; ok && (!c.Removed || newest[i].Removed) {
 			newest[i] = c
 			continue
 		}
