--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -93,6 +93,12 @@
 	c.pool.close()
 }
 
+// CloseIdle closes the connections that are not in use, so that the next request opens a new one. Where one connection has
+// gone silent, the others often have too.
+func (c *Client) CloseIdle() {
+	c.pool.closeIdle()
+}
+
 // Connect opens a connection and keeps it for a later request. It fails with ErrEngineUnreachable.
 func (c *Client) Connect(ctx context.Context) error {
 	cn, err := c.pool.dial(ctx)
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -85,6 +85,17 @@
 	c.Close()
 }
 
+// closeIdle closes the connections that are not in use.
+func (p *pool) closeIdle() {
+	p.mu.Lock()
+	idle := p.idle
+	p.idle = nil
+	p.mu.Unlock()
+	for _, c := range idle {
+		p.drop(c)
+	}
+}
+
 // close closes every connection, including those in use.
 func (p *pool) close() {
 	p.mu.Lock()
