feed: the end of a partition is noticed within a quarter of a second

Callers' requests reached targets that had left (DRAIN): a gateway that returned from a partition went on using them for up to 4.4 s. Noticing the return and the delay of removals, 1.9 s from then on, add up, and only the delay had been bounded. Noticing took the time-out of the call that was lost in the partition, a random pause of up to 0.75 s, another pause after the answer that the history is compacted, and where nothing had changed, the full wait of a call.

core/feed.Calls now schedules the calls, for the gateway and the model alike: - While calls are not answered, and while one is overdue, the service is probed every 250 ms with a read that it may answer from an older state, on a new connection, at a tenth of the price and outside its rate limit. An answer ends the call or the pause under way. Services that refuse are not probed. - After the answer that the history is compacted, all keys are read at once, and it counts as the service's return. - The first call after a failed one does not wait for changes. - A call waits for changes for 0.7 s instead of 1 s, so that a lost one is noticed within 1 s. - A gateway of a zone with relays reads a gap that a partition left without waiting for it to be closed, and gives its call up if a relay names a new era.

The model let calls that were sent into a partition complete at its end, and allowed 3 s to notice it, which leaves nothing for the delay of removals: it now loses them and allows 1 s. The variant "trusts a relay that lost the service" is now detected in episodes in which all relays lose the service at once, since relays tell sooner that they did.

--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -175,27 +175,33 @@
 	f.unavailable = true
 }
 
-// serviceResponded records that the service responded to this process.
+// serviceResponded records a response of the service to this process after which no change is missing.
 func (f *Feed) serviceResponded(now time.Time) {
+	f.recordResponse(now)
+	f.lastSynced = now
+}
+
+// recordResponse records that the service responded to this process.
+func (f *Feed) recordResponse(now time.Time) {
 	f.reachable = true
 	f.unreachableUpdates = 0
 	f.lastResponse = now
-	f.serviceReached(now)
+	f.markReturned(now)
 }
 
-// serviceReached records that the service responds to this process or to one of its relays.
-func (f *Feed) serviceReached(now time.Time) {
+// markReturned records that the service responds to this process or to one of its relays.
+func (f *Feed) markReturned(now time.Time) {
 	if f.unavailable {
 		f.unavailable = false
 		f.returned = now
 	}
-	f.lastSynced = now
 }
 
-// HistoryCompacted records that the service no longer has the changes after the local revision, so that all keys must
-// be read.
-func (f *Feed) HistoryCompacted() {
+// HistoryCompacted records the response that the service no longer has the changes after the local revision, so that all
+// keys must be read.
+func (f *Feed) HistoryCompacted(now time.Time) {
 	f.synced = false
+	f.recordResponse(now)
 }
 
 // ApplySnapshot applies a reading of all keys whose first page was read at the position. It returns false if the process
@@ -272,13 +278,18 @@
 		if f.gapSince.IsZero() {
 			f.gapSince = now
 			f.gapBase = n.Base
+			if f.unavailable {
+				// Changes that were made in a partition are not sent again.
+				f.gapSince = now.Add(-gapTimeout)
+			}
 		}
 		return nil
 	}
 	if ago, ok := n.SinceRecovery.Get(); ok {
 		f.recordReturn(now, now.Add(-ago))
 	}
-	f.serviceReached(now)
+	f.markReturned(now)
+	f.lastSynced = now
 	return f.apply(n.Changes, at)
 }
 
--- a/core/feed/world_test.go
+++ b/core/feed/world_test.go
@@ -19,14 +19,15 @@
 	// step is the time resolution of the simulation.
 	step = 50 * time.Millisecond
 	// wait is how long a call for changes waits, slack the additional time before it is cancelled.
-	wait  = time.Second
+	wait  = 700 * time.Millisecond
 	slack = time.Second
 	// settleTime is the time without disruption after which a process must be up to date within maxDelay.
 	settleTime = 3 * time.Second
 	maxDelay   = 2 * time.Second
-	// retryPause is the pause after a failed call.
-	retryPause = 500 * time.Millisecond
-	zone       = waxwingpick.AvailabilityZone("zone")
+	// maxNotice is the time without disruption after which a process must have noticed that the service is back. The delay of
+	// removals that begins then must fit into settleTime as well.
+	maxNotice = time.Second
+	zone      = waxwingpick.AvailabilityZone("zone")
 	// configKey is written with increasing versions, like the operators' configuration.
 	configKey = "config"
 )
@@ -40,7 +41,7 @@
 	Mode(now time.Time) feed.Mode
 	Failed()
 	RecoveredAt() time.Time
-	HistoryCompacted()
+	HistoryCompacted(now time.Time)
 	ApplySnapshot(now time.Time, entries []waxwingpick.Entry, at waxwingpick.Position) bool
 	ApplyChanges(now time.Time, after waxwingpick.Position, changes []waxwingpick.KeyChange, at waxwingpick.Position) []waxwingpick.KeyChange
 	ApplyUpdate(now time.Time, n feed.Update) []waxwingpick.KeyChange
@@ -157,12 +158,16 @@
 	feed  decider
 	state map[string]int64
 	// era is that of state, version the version of the configuration in force.
-	era        int64
-	version    int64
-	callStart  time.Time
-	after      waxwingpick.Position
-	calling    bool
-	next       time.Time
+	era       int64
+	version   int64
+	callStart time.Time
+	after     waxwingpick.Position
+	calling   bool
+	// lost means that the call under way was sent into a partition, or met one.
+	lost     bool
+	schedule *feed.Calls
+	// wait is how long the call under way waits for changes.
+	wait       time.Duration
 	lastUpdate time.Time
 	frozen     bool
 	cutStore   bool
@@ -190,6 +195,8 @@
 	nodes []*node
 	// restores makes the service return from older copies now and then.
 	restores bool
+	// cutsRelays makes all relays lose the service at the same time now and then.
+	cutsRelays bool
 	// lossy makes messages get lost, duplicated and delayed.
 	lossy bool
 	// unstable is when the service was last disrupted, lastDisruption when anything was.
@@ -223,6 +230,7 @@
 		id:            id,
 		feed:          w.build(id, time.Duration(w.draw(int(feed.Jitter)))),
 		state:         make(map[string]int64),
+		schedule:      feed.NewCalls(wait, func(n int64) int64 { return int64(w.draw(int(n))) }),
 		lastDisrupted: w.now,
 	}
 }
@@ -280,6 +288,17 @@
 	}
 }
 
+// cutRelays partitions all processes that read changes from the service.
+func (w *world) cutRelays() {
+	w.lastDisruption = w.now
+	for _, n := range w.nodes {
+		if n.feed.Mode(n.now(w)) == feed.ModeRead {
+			n.lastDisrupted = w.now
+			n.cutStore = true
+		}
+	}
+}
+
 // relay returns a process that reads changes, or the first process if there is none.
 func (w *world) relay() *node {
 	for _, n := range w.nodes {
@@ -339,9 +358,14 @@
 			late = append(late, m)
 			continue
 		}
+		synced := n.feed.Synced()
 		if err := n.apply(n.feed.ApplyUpdate(n.now(w), m.update)); err != nil {
 			return err
 		}
+		if synced && !n.feed.Synced() && n.calling {
+			n.calling = false
+			n.schedule.Abandoned()
+		}
 	}
 	n.inbox = late
 	update, err := w.call(n)
@@ -356,25 +380,37 @@
 
 // call starts or completes the call of a process and reports whether it has something new to send.
 func (w *world) call(n *node) (bool, error) {
+	now := n.now(w)
+	if n.schedule.ProbeDue(now) && !n.cutStore && !w.store.down && n.schedule.ProbeAnswered(now, now) && n.calling {
+		n.calling = false
+		n.schedule.Abandoned()
+	}
 	if !n.calling {
-		if n.now(w).Before(n.next) || n.feed.Mode(n.now(w)) == feed.ModeReceive {
+		if n.feed.Mode(now) == feed.ModeReceive {
+			n.schedule.Idle()
+			return false, nil
+		}
+		if n.schedule.Pause(now) > 0 {
 			return false, nil
 		}
-		n.calling, n.callStart, n.after = true, n.now(w), n.feed.Position()
+		n.wait = n.schedule.Begin(now)
+		n.calling, n.lost, n.callStart, n.after = true, false, now, n.feed.Position()
 		n.calls++
 	}
+	n.lost = n.lost || n.cutStore
 	switch {
-	case n.cutStore || w.store.down:
-		// A partition is detected by the time-out of the call, an unavailable service immediately.
-		if w.store.down && !n.cutStore || n.now(w).Sub(n.callStart) >= wait+slack {
+	case n.lost || w.store.down:
+		// A lost call is detected by its time-out, an unavailable service immediately.
+		if !n.lost || now.Sub(n.callStart) >= n.wait+slack {
 			n.calling = false
-			n.next = n.now(w).Add(retryPause)
+			n.schedule.Failed(now)
 			n.feed.Failed()
 			return true, nil
 		}
 		return false, nil
 	case !n.feed.Synced():
 		n.calling = false
+		n.schedule.Succeeded(now)
 		var entries []waxwingpick.Entry
 		for _, e := range w.store.entries {
 			entries = append(entries, e)
@@ -394,15 +430,16 @@
 		return true, nil
 	case n.after.Era != w.store.era || n.after.Revision < w.store.oldest:
 		n.calling = false
-		n.feed.HistoryCompacted()
+		n.schedule.Compacted()
+		n.feed.HistoryCompacted(now)
 		return false, nil
 	}
 	changes := w.store.after(n.after.Revision)
-	if len(changes) == 0 && n.now(w).Sub(n.callStart) < wait {
+	if len(changes) == 0 && now.Sub(n.callStart) < n.wait {
 		return false, nil
 	}
 	n.calling = false
-	n.next = n.now(w).Add(step)
+	n.schedule.Succeeded(now)
 	newChanges := n.feed.ApplyChanges(n.now(w), n.after, changes, w.store.position())
 	return len(newChanges) > 0, n.apply(newChanges)
 }
@@ -472,7 +509,7 @@
 		if w.unstable.After(disrupted) {
 			disrupted = w.unstable
 		}
-		if returned := n.feed.RecoveredAt().Add(n.frozenFor); returned.After(disrupted.Add(settleTime)) {
+		if returned := n.feed.RecoveredAt().Add(n.frozenFor); returned.After(disrupted.Add(maxNotice)) {
 			return fmt.Errorf("%s records an outage of the service until %v after the last disruption", n.id, returned.Sub(disrupted))
 		}
 		for _, a := range w.store.acked {
@@ -501,6 +538,9 @@
 		if w.restores && w.draw(20) == 0 {
 			w.restore()
 		}
+		if w.cutsRelays && w.draw(5) == 0 {
+			w.cutRelays()
+		}
 		switch w.draw(6) {
 		case 0, 1:
 			w.disrupt()
@@ -560,6 +600,15 @@
 	}
 }
 
+// relayEpisodeOf returns an episode in which all relays lose the service at once.
+func relayEpisodeOf(b build) rapidtest.Episode {
+	return func(draw rapidtest.Draw) error {
+		w := newWorld(draw, b)
+		w.cutsRelays = true
+		return w.episode()
+	}
+}
+
 func TestMain(m *testing.M) {
 	rapidtest.Main(m, 2000)
 }
@@ -623,6 +672,7 @@
 			},
 		},
 		"trusts a relay that lost the service": {
+			episode: relayEpisodeOf,
 			receive: func(f *feed.Feed, now time.Time, n feed.Update) []waxwingpick.KeyChange {
 				n.ServiceReachable = true
 				return f.ApplyUpdate(now, n)
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"errors"
 	"slices"
 	"strings"
@@ -8,6 +9,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/sourcegraph/conc"
 
 	"waxwingpick"
 	"waxwingpick/core/feed"
@@ -16,15 +18,10 @@
 )
 
 const (
-	// pollWait is how long a call waits for changes. It also bounds how long a dead connection goes unnoticed.
-	pollWait = time.Second
-	// pollInterval is the time between two calls for changes, since changes come in batches.
-	pollInterval = 100 * time.Millisecond
+	// pollWait is how long a call waits for changes. A call that is lost is noticed soon after it.
+	pollWait = 700 * time.Millisecond
 	// idleInterval is the time between two checks whether this process has to read changes itself.
 	idleInterval = 50 * time.Millisecond
-	// minRetryDelay and maxRetryDelay bound the delay before a failed call is repeated.
-	minRetryDelay = 50 * time.Millisecond
-	maxRetryDelay = 500 * time.Millisecond
 )
 
 // sink receives the keys with one prefix.
@@ -88,6 +85,9 @@
 	mode feed.Mode
 	// recoveredAt is the last recovery of the service that the sinks were notified of.
 	recoveredAt time.Time
+	calls       *feed.Calls
+	// interrupt ends the call or the pause under way.
+	interrupt context.CancelFunc
 }
 
 func newFollower(p *Process, sinks ...sink) *follower {
@@ -98,34 +98,117 @@
 		publish: func(time.Time) {},
 		outages: dependency.New("keyValue", p.timers, p.log),
 		feed:    feed.New(p.options.Instance, p.options.Zone, jitter),
+		calls:   feed.NewCalls(pollWait, newRandom().Int64N),
 	}
 }
 
-// run polls the service while this process has to read changes itself, and returns when the process ends.
+// run calls the service while this process has to read changes itself, and returns when the process ends.
 func (f *follower) run() {
 	p := f.process
-	random := newRandom()
-	retry := minRetryDelay
 	for p.lifecycle.Err() == nil {
-		if f.updateMode(p.timers.Now()) == feed.ModeReceive {
-			retry = minRetryDelay
+		now := p.timers.Now()
+		if f.updateMode(now) == feed.ModeReceive {
+			f.mu.Lock()
+			f.calls.Idle()
+			f.mu.Unlock()
 			timer.Sleep(p.lifecycle, p.timers, idleInterval)
 			continue
 		}
-		err := f.poll()
-		f.outages.Observe(err)
-		switch {
-		case err == nil:
-			retry = minRetryDelay
-			timer.Sleep(p.lifecycle, p.timers, pollInterval)
+		ctx, pause, wait := f.nextCall(now)
+		if pause > 0 {
+			timer.Sleep(ctx, p.timers, pause)
 			continue
-		case errors.Is(err, waxwingpick.ErrHistoryCompacted):
-			p.log.Info("key history expired: reading all keys again")
-		default:
-			f.markUnavailable()
 		}
-		timer.Sleep(p.lifecycle, p.timers, retry/2+time.Duration(random.Int64N(int64(retry))))
-		retry = min(maxRetryDelay, 2*retry)
+		f.call(ctx, wait)
+	}
+}
+
+// nextCall begins the next call and returns how long it is to wait for changes, or returns the pause before it. The context
+// ends when either is interrupted.
+func (f *follower) nextCall(now time.Time) (ctx context.Context, pause, wait time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.interruptCall()
+	ctx, f.interrupt = context.WithCancel(f.process.lifecycle)
+	if pause = f.calls.Pause(now); pause > 0 {
+		return ctx, pause, 0
+	}
+	return ctx, 0, f.calls.Begin(now)
+}
+
+// interruptCall ends the call or the pause under way.
+func (f *follower) interruptCall() {
+	if f.interrupt != nil {
+		f.interrupt()
+	}
+}
+
+// call makes one call and records how it ended.
+func (f *follower) call(ctx context.Context, wait time.Duration) {
+	p := f.process
+	err := f.poll(ctx, wait)
+	if err != nil && ctx.Err() != nil {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.calls.Abandoned()
+		return
+	}
+	f.outages.Observe(err)
+	f.mu.Lock()
+	switch {
+	case err == nil:
+		f.calls.Succeeded(p.timers.Now())
+	case errors.Is(err, waxwingpick.ErrHistoryCompacted):
+		f.calls.Compacted()
+	default:
+		f.calls.Failed(p.timers.Now())
+	}
+	f.mu.Unlock()
+	switch {
+	case err == nil:
+	case errors.Is(err, waxwingpick.ErrHistoryCompacted):
+		p.log.Info("key history expired: reading all keys again")
+	default:
+		f.markUnavailable()
+	}
+}
+
+// probe probes the service while calls remain unanswered, until the process ends.
+func (f *follower) probe() {
+	p := f.process
+	var probes conc.WaitGroup
+	defer probes.Wait()
+	for timer.Sleep(p.lifecycle, p.timers, idleInterval) {
+		now := p.timers.Now()
+		f.mu.Lock()
+		due := f.calls.ProbeDue(now)
+		f.mu.Unlock()
+		if due {
+			probes.Go(func() { f.probeOnce(now) })
+		}
+	}
+}
+
+// probeOnce sends a probe. If it is answered, the next call follows at once.
+func (f *follower) probeOnce(sent time.Time) {
+	p := f.process
+	err := p.options.Feed.Probe(p.lifecycle)
+	p.options.Metrics.Probe(err == nil)
+	if err != nil {
+		return
+	}
+	f.mu.Lock()
+	interrupts := f.calls.ProbeAnswered(p.timers.Now(), sent)
+	if interrupts {
+		f.interruptCall()
+	}
+	age := f.feed.Age(p.timers.Now())
+	f.mu.Unlock()
+	if interrupts {
+		p.log.WithFields(logrus.Fields{
+			"probeMillis": p.timers.Now().Sub(sent).Milliseconds(),
+			"ageMillis":   age.Milliseconds(),
+		}).Info("key-value service answers a probe: reading changes")
 	}
 }
 
@@ -149,13 +232,13 @@
 }
 
 // poll makes one call for changes, or reads all keys if the process has no revision to continue from.
-func (f *follower) poll() error {
+func (f *follower) poll(ctx context.Context, wait time.Duration) error {
 	p := f.process
 	f.mu.Lock()
 	initialized, after := f.feed.Synced(), f.feed.Position()
 	f.mu.Unlock()
 	if !initialized {
-		entries, at, err := p.options.Feed.Snapshot(p.lifecycle, p.options.Catalog.Prefix)
+		entries, at, err := p.options.Feed.Snapshot(ctx, p.options.Catalog.Prefix)
 		if err != nil {
 			return err
 		}
@@ -166,12 +249,14 @@
 		f.applySnapshot(entries, at)
 		return nil
 	}
-	changes, at, err := p.options.Feed.Changes(p.lifecycle, p.options.Catalog.Prefix, after, pollWait)
+	changes, at, err := p.options.Feed.Changes(ctx, p.options.Catalog.Prefix, after, wait)
 	if err != nil {
 		if errors.Is(err, waxwingpick.ErrHistoryCompacted) {
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			f.feed.HistoryCompacted()
+			now := p.timers.Now()
+			f.feed.HistoryCompacted(now)
+			f.markAvailable(now, sourceChanges)
 		}
 		return err
 	}
@@ -272,7 +357,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	age := f.feed.Age(now)
+	synced := f.feed.Synced()
 	fresh := f.feed.ApplyUpdate(now, n)
+	if synced && !f.feed.Synced() {
+		// The call under way follows a position of an earlier era.
+		f.interruptCall()
+	}
 	if f.feed.Age(now) < age {
 		f.markAvailable(now, string(n.From))
 	}
--- a/internal/gateway/partition_test.go
+++ b/internal/gateway/partition_test.go
@@ -246,17 +246,25 @@
 func TestGatewayObeysInTimeAfterAPartition(t *testing.T) {
 	for _, row := range []struct {
 		name               string
+		length             time.Duration
 		compacted, refuses bool
 	}{
 		{
-			name: "history",
+			name:   "short",
+			length: 100 * time.Millisecond,
+		},
+		{
+			name:   "history",
+			length: 6 * time.Second,
 		},
 		{
 			name:      "compacted",
+			length:    6 * time.Second,
 			compacted: true,
 		},
 		{
 			name:      "refused and compacted",
+			length:    6 * time.Second,
 			compacted: true,
 			refuses:   true,
 		},
@@ -266,17 +274,16 @@
 				synctest.Test(t, func(t *testing.T) {
 					p, s := startCut(t)
 					s.refuses = row.refuses
-					time.Sleep(5 * time.Second)
+					time.Sleep(5*time.Second + phase)
 					s.setCut(true)
-					time.Sleep(3 * time.Second)
+					time.Sleep(row.length / 2)
 					s.write(targetPrefix+"gone", "leaving", false)
 					s.write(configKey, "2", false)
-					time.Sleep(3 * time.Second)
+					time.Sleep(row.length / 2)
 					s.write(targetPrefix+"gone", "", true)
 					if row.compacted {
 						s.compact()
 					}
-					time.Sleep(phase)
 					s.setCut(false)
 					time.Sleep(contact / 3)
 					s.write(targetPrefix+"late", "", true)
--- a/internal/gateway/process.go
+++ b/internal/gateway/process.go
@@ -131,6 +131,7 @@
 			p.timers.Every(usageStepInterval, p.usage.step))
 	}
 	p.loops.Go(p.follower.run)
+	p.loops.Go(p.follower.probe)
 	p.stops = append(p.stops, p.timers.Every(statementsInterval, p.statements.sync), p.timers.Every(suspectsInterval, p.crashTracker.count))
 }
 
--- a/io/prometheus/gateway.go
+++ b/io/prometheus/gateway.go
@@ -32,6 +32,7 @@
 	peers      client.Gauge
 	sharing    client.Gauge
 	feedReads  client.Gauge
+	probes     *client.CounterVec
 	era        client.Gauge
 	feedAge    client.Gauge
 	reportAge  client.Histogram
@@ -70,6 +71,7 @@
 		peers:      unlabeledGauge("gateway_peers", "Other gateways that load is told to."),
 		sharing:    unlabeledGauge("gateway_sharing", "Gateways that share the retry budget; zero as long as their number is not known."),
 		feedReads:  unlabeledGauge("gateway_feed_reads", "1 where changes are read from the key-value service, 0 where other gateways tell them."),
+		probes:     counter("gateway_feed_probes_total", "Probes of the key-value service while calls to it were not answered, by result.", "result"),
 		era:        unlabeledGauge("gateway_store_era", "Era of the key-value service that is followed; zero if it names none."),
 		feedAge:    unlabeledGauge("gateway_feed_age_seconds", "Time since it was last known that no change is missing."),
 		reportAge: client.NewHistogram(client.HistogramOpts{
@@ -99,7 +101,7 @@
 		g.requests, g.responses, g.firstEvent, g.refused, g.retries, g.attempts, g.running, g.version, g.peers, g.sharing,
 		g.feedReads, g.feedAge, g.reportAge, g.targets, g.statements, g.stated, g.crashes, g.inFlight,
 		g.verdicts, g.suspects, g.streamEnds, g.endChecks, g.era, g.lingers, g.keys, g.duties, g.tokens, g.windows, g.window,
-		g.zoneShares, g.zoneSent, g.listEvents,
+		g.zoneShares, g.zoneSent, g.listEvents, g.probes,
 	} {
 		if err := g.registry.Register(c); err != nil {
 			return nil, fmt.Errorf("register metrics: %w", err)
@@ -243,6 +245,15 @@
 	g.feedAge.Set(age.Seconds())
 }
 
+// Probe counts a probe of the key-value service.
+func (g *Gateway) Probe(answered bool) {
+	result := "failed"
+	if answered {
+		result = "answered"
+	}
+	g.probes.WithLabelValues(result).Inc()
+}
+
 // Era sets the era of the key-value service that is followed.
 func (g *Gateway) Era(era int64) {
 	g.era.Set(float64(era))
--- a/keyfeed.go
+++ b/keyfeed.go
@@ -18,6 +18,8 @@
 
 // KeyFeed is the client interface to a key-value service that streams changes with their values.
 type KeyFeed interface {
+	// Probe returns nil if the service responds on a new connection. It is cheap for the service, and says nothing of its keys.
+	Probe(ctx context.Context) error
 	// Snapshot returns all keys with the prefix as of a position; later changes may be missing.
 	Snapshot(ctx context.Context, prefix string) (entries []Entry, at Position, err error)
 	// Changes waits up to the given time for changes after the position. It returns them in order, with the position to
