feed: a relay whose call is not answered stops counting as current

A configuration was in force 2.15 s after its acknowledgement (bound 2 s) at gateways that receive changes from relays, where all relays of the zone had lost the service and their calls had not timed out yet: until then they told that they hold all changes. A relay now counts as current for 1.2 s after the service's last response. TestReceiversDoNotWaitForRelaysThatLostTheService, episodes in which all relays lose the service at once, failed before.

--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -15,6 +15,9 @@
 	UpdatePeriod = 250 * time.Millisecond
 	// relayTimeout is how long a relay counts as live after its last message; some messages may be lost.
 	relayTimeout = 800 * time.Millisecond
+	// currentTTL is how long a relay counts as current after the last response of the service. It exceeds the wait of a call for
+	// changes, the interval between calls and the latency of a slow service.
+	currentTTL = 1200 * time.Millisecond
 	// responseTTL is how long a response of the service shows that this process reaches it. It exceeds the wait of a call
 	// for changes.
 	responseTTL = 2 * time.Second
@@ -96,7 +99,7 @@
 	// nor its relays have reached the service since a call failed.
 	reachable   bool
 	unavailable bool
-	// unreachableUpdates counts the updates sent with Touch unset.
+	// unreachableUpdates counts the updates sent since the service last responded that told so.
 	unreachableUpdates int
 	// returned is when the service last recovered from an outage, eraSince when it returned in the current era.
 	returned   time.Time
@@ -362,13 +365,14 @@
 	if !f.synced || f.unreachableUpdates >= changeRepeats {
 		return Update{}, false
 	}
-	if !f.reachable {
+	reachable := f.reachable && now.Sub(f.lastResponse) < currentTTL
+	if !reachable {
 		f.unreachableUpdates++
 	}
 	n := Update{
 		From:             f.self,
 		Zone:             f.zone,
-		ServiceReachable: f.reachable,
+		ServiceReachable: reachable,
 		Era:              f.position.Era,
 		Revision:         f.position.Revision,
 	}
--- a/core/feed/world_test.go
+++ b/core/feed/world_test.go
@@ -625,6 +625,11 @@
 	rapidtest.Check(t, restoringEpisodeOf(correct))
 }
 
+// TestReceiversDoNotWaitForRelaysThatLostTheService partitions all relays from the service, but not from the receivers.
+func TestReceiversDoNotWaitForRelaysThatLostTheService(t *testing.T) {
+	rapidtest.Check(t, relayEpisodeOf(correct))
+}
+
 // faulty is a Feed that lacks one of the rules.
 type faulty struct {
 	*feed.Feed
