http1: a response with a status below 100 is no response

A target's signed response with the status 000 reached its caller as 200: fasthttp does not tell a status of zero from one that was not set, and reports success. The status line is now read before the response, also after interim responses and empty lines, and a status below 100 counts as a lost response, so that the request counts as possibly run. All clients of targets, engines, services and the store use this code.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -5,12 +5,16 @@
 	"bytes"
 	"crypto/tls"
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"os"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
 	"waxwingpick/io/tcp"
@@ -22,6 +26,19 @@
 	readBufferBytes  = 4 << 10
 	maxHeaderBytes   = 16 << 10
 	writeBufferBytes = 4 << 10
+	// maxInterimResponses bounds the interim responses (1xx) before a response.
+	maxInterimResponses = 100
+	// minStatus is the lowest status of a response, in statusDigits digits.
+	minStatus    = 100
+	statusDigits = 3
+	// minStatusLine and maxStatusLine bound the bytes up to the end of a status.
+	minStatusLine = len("HTTP/1.1 200")
+	maxStatusLine = 64
+)
+
+var (
+	errStatus  = eris.New("invalid response status")
+	errInterim = eris.New("too many interim responses")
 )
 
 // past is a deadline that makes every read and write fail immediately.
@@ -58,6 +75,9 @@
 
 // receive reads the header of a response, and its body unless that is streamed.
 func (c *conn) receive(resp *fasthttp.Response, maxBody int) error {
+	if err := c.skipInterim(); err != nil {
+		return err
+	}
 	consumed := c.consumed()
 	err := resp.ReadLimitBody(c.br, maxBody)
 	var small *fasthttp.ErrSmallBuffer
@@ -68,6 +88,60 @@
 	return resp.ReadLimitBody(c.br, maxBody)
 }
 
+// skipInterim reads interim responses, and fails with errStatus if the final one has a status below 100. fasthttp takes a status
+// of zero for one that was not set, and reports success.
+func (c *conn) skipInterim() error {
+	for range maxInterimResponses {
+		status, ok := c.peekStatus()
+		switch {
+		case !ok:
+			return nil
+		case status < minStatus:
+			return fmt.Errorf("%w: %03d", errStatus, status)
+		case status >= http.StatusOK || status == http.StatusSwitchingProtocols:
+			return nil
+		}
+		var interim fasthttp.ResponseHeader
+		if err := interim.Read(c.br); err != nil {
+			return fmt.Errorf("read interim response: %w", err)
+		}
+	}
+	return errInterim
+}
+
+// peekStatus returns the status of the response that follows, without its status line being read; false if it has none. Empty
+// lines before it are skipped.
+func (c *conn) peekStatus() (status int, ok bool) {
+	for skipped := 0; ; skipped++ {
+		first, err := c.br.Peek(1)
+		if err != nil {
+			return 0, false
+		}
+		if first[0] != '\r' && first[0] != '\n' {
+			break
+		}
+		if skipped == maxStatusLine {
+			return 0, true
+		}
+		// Peek has buffered the byte.
+		_, _ = c.br.Discard(1)
+	}
+	for n := minStatusLine; n <= maxStatusLine; n++ {
+		line, err := c.br.Peek(n)
+		if err != nil {
+			return 0, false
+		}
+		_, rest, found := bytes.Cut(line, []byte(" "))
+		code := bytes.TrimLeft(rest, " ")
+		if !found || len(code) < statusDigits {
+			continue
+		}
+		status, err := strconv.ParseUint(string(code[:statusDigits]), 10, 16)
+		return int(status), err == nil
+	}
+	return 0, false
+}
+
 // consumed returns the number of received bytes that were read from the buffer.
 func (c *conn) consumed() int64 {
 	return c.received - int64(c.br.Buffered())
