feed: a partition of one gateway is no outage of the service

Each failed call of its own counted as an outage, and each update of the relay as the service's return, from which the delay of removals ran again.

An outage is now what neither the gateway nor a relay contradicts: a call has failed since either last reached the service, which was longer ago than a relay may be silent.

--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -95,10 +95,11 @@
 	keyRevisions map[string]int64
 	tail         tail
 
-	// reachable means that the service responded to this process's last call. unavailable means that neither this process
-	// nor its relays have reached the service since a call failed.
+	// reachable means that the service responded to this process's last call. lastContact is when it last responded to this process,
+	// or a relay last told that it reaches it, and failed means that a call of this process has failed since.
 	reachable   bool
-	unavailable bool
+	lastContact time.Time
+	failed      bool
 	// unreachableUpdates counts the updates sent since the service last responded that told so.
 	unreachableUpdates int
 	// returned is when the service last recovered from an outage, eraSince when it returned in the current era.
@@ -175,7 +176,13 @@
 // Failed records that the service did not respond to this process.
 func (f *Feed) Failed() {
 	f.reachable = false
-	f.unavailable = true
+	f.failed = true
+}
+
+// Unavailable reports whether neither this process nor a relay has reached the service lately. The failed calls of this process
+// alone may be due to a partition.
+func (f *Feed) Unavailable(now time.Time) bool {
+	return f.failed && now.Sub(f.lastContact) > relayTimeout
 }
 
 // serviceResponded records a response of the service to this process after which no change is missing.
@@ -186,18 +193,19 @@
 
 // recordResponse records that the service responded to this process.
 func (f *Feed) recordResponse(now time.Time) {
+	f.contact(now)
 	f.reachable = true
 	f.unreachableUpdates = 0
 	f.lastResponse = now
-	f.markReturned(now)
 }
 
-// markReturned records that the service responds to this process or to one of its relays.
-func (f *Feed) markReturned(now time.Time) {
-	if f.unavailable {
-		f.unavailable = false
+// contact records that the service responds to this process or to one of its relays.
+func (f *Feed) contact(now time.Time) {
+	if f.Unavailable(now) {
 		f.returned = now
 	}
+	f.lastContact = now
+	f.failed = false
 }
 
 // HistoryCompacted records the response that the service no longer has the changes after the local revision, so that all
@@ -265,6 +273,10 @@
 			current:     n.ServiceReachable && f.synced && !at.Before(f.position),
 		}
 	}
+	partitioned := f.failed
+	if n.ServiceReachable && n.Era >= f.position.Era {
+		f.contact(now)
+	}
 	if !f.synced || !n.ServiceReachable || at.Before(f.position) {
 		return nil
 	}
@@ -281,7 +293,7 @@
 		if f.gapSince.IsZero() {
 			f.gapSince = now
 			f.gapBase = n.Base
-			if f.unavailable {
+			if partitioned {
 				// Changes that were made in a partition are not sent again.
 				f.gapSince = now.Add(-gapTimeout)
 			}
@@ -291,7 +303,6 @@
 	if ago, ok := n.SinceRecovery.Get(); ok {
 		f.recordReturn(now, now.Add(-ago))
 	}
-	f.markReturned(now)
 	f.lastSynced = now
 	return f.apply(n.Changes, at)
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -406,15 +406,19 @@
 	}
 }
 
-// markUnavailable notifies the sinks and the other gateways that the service did not respond.
+// markUnavailable notifies the other gateways that the service did not respond to this one, and the sinks if it responds to no
+// relay either.
 func (f *follower) markUnavailable() {
+	now := f.process.timers.Now()
 	f.mu.Lock()
 	f.feed.Failed()
-	for _, s := range f.sinks {
-		s.serviceDown()
+	if f.feed.Unavailable(now) {
+		for _, s := range f.sinks {
+			s.serviceDown()
+		}
 	}
 	f.mu.Unlock()
-	f.publish(f.process.timers.Now())
+	f.publish(now)
 }
 
 // apply passes changes to the sinks.
--- a/internal/gateway/partition_test.go
+++ b/internal/gateway/partition_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 
 	"waxwingpick"
+	"waxwingpick/core/feed"
 	"waxwingpick/core/retry"
 	"waxwingpick/core/routetable"
 	"waxwingpick/core/timer"
@@ -318,3 +319,28 @@
 		require.Fail(t, "configuration not in force in time")
 	})
 }
+
+// TestOwnFailuresDoNotDelayARemovalThatARelayTells cuts a gateway off from the service, but not from a relay.
+func TestOwnFailuresDoNotDelayARemovalThatARelayTells(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p, s := startCut(t)
+		time.Sleep(time.Second)
+		s.setCut(true)
+		for i := range 60 {
+			time.Sleep(feed.UpdatePeriod)
+			if i == 40 {
+				s.write(targetPrefix+"gone", "", true)
+			}
+			changes, at, err := s.since(waxwingpick.Position{})
+			require.NoError(t, err)
+			p.follower.applyUpdate(time.Now(), feed.Update{
+				From:             "relay",
+				ServiceReachable: true,
+				Revision:         at.Revision,
+				Changes:          changes,
+			})
+			ids, _ := known(p)
+			require.Equal(t, i < 40, slices.Contains(ids, "gone"), "update %d", i)
+		}
+	})
+}
