stand-in store: changes are recorded in the order of their revisions

One of them was missing in the lists of the other three, which had all read up to the revision of its registration. The four had registered at the same moment. The stand-in added the changes of concurrent writes to its history after each write had released the lock, so that a watch could receive the later revision first, and never the earlier one. Changes are now recorded under the lock.

--- a/internal/standin/memkv/store.go
+++ b/internal/standin/memkv/store.go
@@ -23,6 +23,7 @@
 	lastLease waxwingpick.LeaseID
 	watches   []*subscription
 	pending   []func()
+	record    func(c Change)
 	deferred  []func()
 	faults    serviceFaults
 	calls     map[waxwingpick.KeyValueCall]int64
@@ -94,8 +95,12 @@
 	s.mu.Lock()
 	defer s.unlock()
 	s.expireLocked()
+	return s.entryLocked(key), s.detailsLocked(key)
+}
+
+func (s *Store) detailsLocked(key string) Details {
 	r := s.records[key]
-	return s.entryLocked(key), Details{
+	return Details{
 		Created: r.created,
 		Version: r.version,
 		Lease:   r.lease,
--- a/internal/standin/memkv/watch.go
+++ b/internal/standin/memkv/watch.go
@@ -16,6 +16,21 @@
 	broken  func()
 }
 
+// Change is a change of a key. A removed key has no value.
+type Change struct {
+	Entry   waxwingpick.Entry
+	Details Details
+	Removed bool
+}
+
+// Record calls record for each change, in the order of the revisions and before its call returns. record must not call the
+// service.
+func (s *Store) Record(record func(c Change)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.record = record
+}
+
 // Subscribe calls changed in the goroutine of each write, so that single-threaded tests are deterministic.
 func (s *Store) Subscribe(prefix string, changed func(key string)) (stop func()) {
 	return s.subscribe(&subscription{
@@ -43,6 +58,9 @@
 	if s.faults.dropEvents {
 		return
 	}
+	if s.record != nil {
+		s.record(s.changeLocked(key))
+	}
 	for _, sub := range s.watches {
 		if strings.HasPrefix(key, sub.prefix) {
 			s.pending = append(s.pending, func() {
@@ -52,6 +70,19 @@
 	}
 }
 
+// changeLocked returns the change of a key that has just been made.
+func (s *Store) changeLocked(key string) Change {
+	c := Change{
+		Entry:   s.entryLocked(key),
+		Details: s.detailsLocked(key),
+	}
+	if !c.Entry.Exists() {
+		c.Entry.Revision = s.revision
+		c.Removed = true
+	}
+	return c
+}
+
 // unlock releases the lock and then delivers the queued events, so that receivers may call the service.
 func (s *Store) unlock() {
 	pending := s.pending
--- a/internal/standin/store/server.go
+++ b/internal/standin/store/server.go
@@ -60,7 +60,7 @@
 	}
 	s.store = memkv.New(s.Timers())
 	s.kv = s.store.Client()
-	s.store.Subscribe("", s.recordChange)
+	s.store.Record(s.recordChange)
 	s.Start()
 	return s, nil
 }
@@ -126,17 +126,10 @@
 	s.notifyWatches()
 }
 
-// recordChange appends the change of a key to the history.
-func (s *Server) recordChange(key string) {
-	e, details := s.store.Peek(key)
-	change := item{
-		Key:       key,
-		Revision:  s.store.Revision(),
-		Tombstone: true,
-	}
-	if e.Exists() {
-		change = itemOf(e, details)
-	}
+// recordChange appends a change to the history.
+func (s *Server) recordChange(c memkv.Change) {
+	change := itemOf(c.Entry, c.Details)
+	change.Tombstone = c.Removed
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.history = append(s.history, change)
@@ -254,9 +247,10 @@
 // changesSince returns the changes after a revision, whether some of them were compacted, and a channel that is closed
 // at the next change.
 func (s *Server) changesSince(prefix string, after int64) (events []item, tooOld bool, changed <-chan struct{}) {
+	newest := s.store.Revision()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if after < s.compacted || after > s.store.Revision() {
+	if after < s.compacted || after > newest {
 		return nil, true, nil
 	}
 	for _, change := range s.history {
