--- a/core/feed/calls.go
+++ b/core/feed/calls.go
@@ -11,7 +11,7 @@
 	// ProbeInterval is the time between two probes of a service that does not respond. After a partition, noticing its end and
 	// the delay of removals have to fit into the time after which this process has to be up to date.
 	ProbeInterval = 250 * time.Millisecond
-	// shortWait is how long a call waits for changes after one that failed, whose successor shows that the service is back.
+	// shortWait is how long the call after a failed one waits for changes. Its response shows that the service is back.
 	shortWait = 10 * time.Millisecond
 )
 
@@ -115,6 +115,17 @@
 	return true
 }
 
+// UntilProbe returns how long no probe can become due.
+func (c *Calls) UntilProbe(now time.Time) time.Duration {
+	switch {
+	case c.probing || c.overdue(now):
+		return max(0, ProbeInterval-now.Sub(c.lastProbe))
+	case !c.abandoned && !c.began.IsZero():
+		return c.expected - now.Sub(c.began)
+	}
+	return ProbeInterval
+}
+
 // overdue reports whether the call under way should have been answered.
 func (c *Calls) overdue(now time.Time) bool {
 	return !c.abandoned && !c.began.IsZero() && now.Sub(c.began) >= c.expected
--- a/core/feed/calls_test.go
+++ b/core/feed/calls_test.go
@@ -9,13 +9,19 @@
 	"waxwingpick/core/feed"
 )
 
-// probes advances a schedule in steps and returns how many probes were due.
+// probes advances a schedule in steps and returns how many probes were due. None may be due before UntilProbe.
 func probes(c *feed.Calls, from time.Time, d time.Duration) int {
 	n := 0
+	next := from
 	for at := from; at.Before(from.Add(d)); at = at.Add(10 * time.Millisecond) {
-		if c.ProbeDue(at) {
+		due := c.ProbeDue(at)
+		if due {
 			n++
 		}
+		if due && at.Before(next) {
+			return -1
+		}
+		next = at.Add(c.UntilProbe(at))
 	}
 	return n
 }
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -178,14 +178,18 @@
 	p := f.process
 	var probes conc.WaitGroup
 	defer probes.Wait()
-	for timer.Sleep(p.lifecycle, p.timers, idleInterval) {
+	for {
 		now := p.timers.Now()
 		f.mu.Lock()
 		due := f.calls.ProbeDue(now)
+		wait := f.calls.UntilProbe(now)
 		f.mu.Unlock()
 		if due {
 			probes.Go(func() { f.probeOnce(now) })
 		}
+		if !timer.Sleep(p.lifecycle, p.timers, wait) {
+			return
+		}
 	}
 }
 
