gateway: one function sends messages of a kind, one fills bounded maps

sendTo, sendSpeeds and the messages of shares encoded and sent as sendKind did already; they call it now, and its log text is the one of the others. peers, gossip and shares bounded their maps by the same lines, which putBounded replaces.

--- a/internal/gateway/gossip.go
+++ b/internal/gateway/gossip.go
@@ -262,12 +262,17 @@
 	if !ok {
 		return
 	}
+	g.sendKind(kind, m, addr)
+}
+
+// sendKind sends a message of a kind.
+func (g *gossip) sendKind(kind byte, m any, receivers ...string) {
 	encoded, err := cbor.Marshal(m)
 	if err != nil {
 		g.process.log.WithField("error", err.Error()).Error("encoding the message failed")
 		return
 	}
-	g.sendAll([]string{addr}, append([]byte{kind}, encoded...))
+	g.sendAll(receivers, append([]byte{kind}, encoded...))
 }
 
 func (g *gossip) send(peers []string, m message) {
@@ -365,11 +370,15 @@
 func (g *gossip) storeRemote(now time.Time, d zoneDigest) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if _, ok := g.remote[d.Zone]; !ok && len(g.remote) >= maxZones {
-		return
-	}
-	g.remote[d.Zone] = remoteDigest{
+	putBounded(g.remote, maxZones, d.Zone, remoteDigest{
 		digest: d,
 		at:     now.Add(-d.age()),
+	})
+}
+
+// putBounded sets the value of a key, unless it is a new one in a map with limit keys.
+func putBounded[K comparable, V any](m map[K]V, limit int, key K, value V) {
+	if _, ok := m[key]; ok || len(m) < limit {
+		m[key] = value
 	}
 }
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -98,13 +98,10 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if _, ok := s.gateways[e.Key]; !ok && len(s.gateways) >= maxPeers {
-		return
-	}
-	s.gateways[e.Key] = peer{
+	putBounded(s.gateways, maxPeers, e.Key, peer{
 		addr: addr,
 		zone: zoneOf(e.Key),
-	}
+	})
 }
 
 func (s *peers) remove(key string) {
--- a/internal/gateway/speedlink.go
+++ b/internal/gateway/speedlink.go
@@ -34,16 +34,11 @@
 	if len(services) == 0 {
 		return
 	}
-	encoded, err := cbor.Marshal(speedMessage{
+	g.sendKind(speedKind, speedMessage{
 		From:     g.process.options.Instance,
 		Zone:     g.process.options.Zone,
 		Services: services,
-	})
-	if err != nil {
-		g.process.log.WithField("error", err.Error()).Error("encoding the message failed")
-		return
-	}
-	g.sendAll(peers, append([]byte{speedKind}, encoded...))
+	}, peers...)
 }
 
 // receiveSpeeds applies the message of another gateway; one that cannot be decoded is dropped.
--- a/internal/gateway/statementlink.go
+++ b/internal/gateway/statementlink.go
@@ -138,15 +138,6 @@
 	return ok
 }
 
-func (g *gossip) sendKind(kind byte, m any, receivers ...string) {
-	encoded, err := cbor.Marshal(m)
-	if err != nil {
-		g.process.log.WithField("error", err.Error()).Error("encoding the statements failed")
-		return
-	}
-	g.sendAll(receivers, append([]byte{kind}, encoded...))
-}
-
 // receiveStatements handles a message about statements. It returns false for a message of another kind.
 func (g *gossip) receiveStatements(now time.Time, kind byte, encoded []byte) bool {
 	var err error
--- a/internal/gateway/zonelink.go
+++ b/internal/gateway/zonelink.go
@@ -165,12 +165,7 @@
 		return
 	}
 	m.From, m.Zone = z.process.options.Instance, z.process.options.Zone
-	encoded, err := cbor.Marshal(m)
-	if err != nil {
-		z.process.log.WithField("error", err.Error()).Error("encoding the message failed")
-		return
-	}
-	z.gossip.sendAll(receivers, append([]byte{zoneShareKind}, encoded...))
+	z.gossip.sendKind(zoneShareKind, m, receivers...)
 }
 
 // receive applies the message of another gateway; one that cannot be decoded or has a figure out of range is dropped.
@@ -199,24 +194,18 @@
 func (z *zoneShares) observeDemand(now time.Time, m zoneMessage) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	if _, ok := z.demands[m.From]; !ok && len(z.demands) >= maxPeers {
-		return
-	}
-	z.demands[m.From] = ownDemand{
+	putBounded(z.demands, maxPeers, m.From, ownDemand{
 		at:       now,
 		services: m.Demands,
-	}
+	})
 }
 
 // keepUnforwarded keeps a report of another zone for forwarding.
 func (z *zoneShares) keepUnforwarded(at time.Time, r zoneReport) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	if _, ok := z.unforwarded[r.Zone]; !ok && len(z.unforwarded) >= maxZones {
-		return
-	}
-	z.unforwarded[r.Zone] = receivedReport{
+	putBounded(z.unforwarded, maxZones, r.Zone, receivedReport{
 		report: r,
 		at:     at,
-	}
+	})
 }
