--- a/internal/gateway/usagehost.go
+++ b/internal/gateway/usagehost.go
@@ -264,7 +264,7 @@
 		u.readFor = 0
 		u.process.log.WithFields(logrus.Fields{
 			"window": step.Window,
-			"error":  errorText(err),
+			"error":  detail(err),
 		}).Debug("usage window not settled")
 		return false
 	}
@@ -305,7 +305,7 @@
 	u.logWindow(step.Window, "usage report sent", logrus.Fields{
 		"outcome": outcome.String(),
 		"token":   token,
-		"error":   errorText(err),
+		"error":   detail(err),
 	})
 	u.process.options.Metrics.UsageWindow(outcome.String(), int64(step.Window))
 	return outcome == usage.SendRefused
@@ -330,11 +330,3 @@
 	}
 	u.process.log.WithFields(all).Info(event)
 }
-
-// errorText returns the text of an error; empty if there is none.
-func errorText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
