feed: a call schedule remembers one outcome instead of two flags

failing and abandoned had three legal combinations, which are the three outcomes of the last call. Idle and Compacted did the same: Reset. The follower tells the schedule how a call ended in one switch. minOutage is derived from currentTTL, as its comment said. No change of behaviour: the model and the tests pass unchanged but for the renamed call.

--- a/core/feed/calls.go
+++ b/core/feed/calls.go
@@ -15,6 +15,16 @@
 	shortWait = 10 * time.Millisecond
 )
 
+// callOutcome is how a call ended.
+type callOutcome uint8
+
+const (
+	callAnswered callOutcome = iota
+	callFailed
+	// callAbandoned means that a probe was answered before the call.
+	callAbandoned
+)
+
 // Calls schedules the calls of one process to the service. It is not safe for concurrent use.
 //
 // A call that is sent into a partition is lost, and its time-out may end long after the partition. While a call is overdue, and
@@ -29,12 +39,9 @@
 	// began is when the call under way began; zero if there is none. expected is the time within which it should be answered.
 	began    time.Time
 	expected time.Duration
-	// failing means that the last call failed or was given up, probing that it was not answered, nor any probe since.
-	failing bool
-	probing bool
-	// abandoned means that the last call was given up. The one after it may take its time, as a slow service answers a probe
-	// sooner than a call.
-	abandoned bool
+	last     callOutcome
+	// probing means that the last call was not answered, nor any probe since.
+	probing   bool
 	lastProbe time.Time
 }
 
@@ -56,7 +63,7 @@
 // Begin records that a call begins, and returns how long it is to wait for changes.
 func (c *Calls) Begin(now time.Time) time.Duration {
 	wait := c.wait
-	if c.failing {
+	if c.last != callAnswered {
 		wait = shortWait
 	}
 	c.began = now
@@ -64,46 +71,36 @@
 	return wait
 }
 
-// Idle records that this process does not call the service, since it receives changes from relays.
-func (c *Calls) Idle() {
-	c.succeeded(time.Time{})
+// Reset makes the next call due, as if none had failed: the service has answered that all keys have to be read, or this process
+// receives changes from relays meanwhile.
+func (c *Calls) Reset() {
+	c.ended(callAnswered, time.Time{})
+	c.probing = false
+	c.delay = minRetryDelay
 }
 
 // Succeeded records that the call was answered with what was asked for.
 func (c *Calls) Succeeded(now time.Time) {
-	c.succeeded(now.Add(callInterval))
+	c.Reset()
+	c.next = now.Add(callInterval)
 }
 
-// Compacted records the answer that all keys have to be read, which is done by the next call, at once.
-func (c *Calls) Compacted() {
-	c.succeeded(time.Time{})
-}
-
-func (c *Calls) succeeded(next time.Time) {
+func (c *Calls) ended(outcome callOutcome, next time.Time) {
 	c.began = time.Time{}
-	c.failing = false
-	c.probing = false
-	c.abandoned = false
-	c.delay = minRetryDelay
+	c.last = outcome
 	c.next = next
 }
 
 // Failed records that the call failed. A failure that took as long as a probe was no answer.
 func (c *Calls) Failed(now time.Time) {
 	c.probing = now.Sub(c.began) >= ProbeInterval
-	c.failing = true
-	c.abandoned = false
-	c.began = time.Time{}
-	c.next = now.Add(c.delay/2 + time.Duration(c.random(int64(c.delay))))
+	c.ended(callFailed, now.Add(c.delay/2+time.Duration(c.random(int64(c.delay)))))
 	c.delay = min(maxRetryDelay, 2*c.delay)
 }
 
 // Abandoned records that the call was given up because a probe was answered.
 func (c *Calls) Abandoned() {
-	c.began = time.Time{}
-	c.next = time.Time{}
-	c.failing = true
-	c.abandoned = true
+	c.ended(callAbandoned, time.Time{})
 }
 
 // ProbeDue reports whether the service is to be probed now.
@@ -120,15 +117,16 @@
 	switch {
 	case c.probing || c.overdue(now):
 		return max(0, ProbeInterval-now.Sub(c.lastProbe))
-	case !c.abandoned && !c.began.IsZero():
+	case c.last != callAbandoned && !c.began.IsZero():
 		return c.expected - now.Sub(c.began)
 	}
 	return ProbeInterval
 }
 
-// overdue reports whether the call under way should have been answered.
+// overdue reports whether the call under way should have been answered. One after an abandoned call may take its time, as a slow
+// service answers a probe sooner than a call.
 func (c *Calls) overdue(now time.Time) bool {
-	return !c.abandoned && !c.began.IsZero() && now.Sub(c.began) >= c.expected
+	return c.last != callAbandoned && !c.began.IsZero() && now.Sub(c.began) >= c.expected
 }
 
 // ProbeAnswered records the answer to a probe and reports whether the call under way, or the pause before the next one, is to
--- a/core/feed/calls_test.go
+++ b/core/feed/calls_test.go
@@ -93,6 +93,6 @@
 		c.Failed(start)
 	}
 	c.Begin(start)
-	c.Compacted()
+	c.Reset()
 	require.Zero(t, c.Pause(start))
 }
--- a/core/feed/feed.go
+++ b/core/feed/feed.go
@@ -20,7 +20,7 @@
 	currentTTL = 1200 * time.Millisecond
 	// minOutage is the shortest time without contact to the service that counts as an outage. Entries of live targets expire after
 	// several heartbeats only, and a relay may be behind by currentTTL.
-	minOutage = 1200 * time.Millisecond
+	minOutage = currentTTL
 	// responseTTL is how long a response of the service shows that this process reaches it. It exceeds the wait of a call
 	// for changes.
 	responseTTL = 2 * time.Second
@@ -103,7 +103,7 @@
 	reachable   bool
 	lastContact time.Time
 	failed      bool
-	// unreachableUpdates counts the updates sent since the service last responded that told so.
+	// unreachableUpdates counts the updates since the last response that told that the service does not respond.
 	unreachableUpdates int
 	// returned is when the service last recovered from an outage, eraSince when it returned in the current era.
 	returned   time.Time
--- a/core/feed/world_test.go
+++ b/core/feed/world_test.go
@@ -387,7 +387,7 @@
 	}
 	if !n.calling {
 		if n.feed.Mode(now) == feed.ModeReceive {
-			n.schedule.Idle()
+			n.schedule.Reset()
 			return false, nil
 		}
 		if n.schedule.Pause(now) > 0 {
@@ -430,7 +430,7 @@
 		return true, nil
 	case n.after.Era != w.store.era || n.after.Revision < w.store.oldest:
 		n.calling = false
-		n.schedule.Compacted()
+		n.schedule.Reset()
 		n.feed.HistoryCompacted(now)
 		return false, nil
 	}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -109,7 +109,7 @@
 		now := p.timers.Now()
 		if f.updateMode(now) == feed.ModeReceive {
 			f.mu.Lock()
-			f.calls.Idle()
+			f.calls.Reset()
 			f.mu.Unlock()
 			timer.Sleep(p.lifecycle, p.timers, idleInterval)
 			continue
@@ -154,22 +154,19 @@
 		return
 	}
 	f.outages.Observe(err)
-	f.mu.Lock()
-	switch {
-	case err == nil:
-		f.calls.Succeeded(p.timers.Now())
-	case errors.Is(err, waxwingpick.ErrHistoryCompacted):
-		f.calls.Compacted()
-	default:
-		f.calls.Failed(p.timers.Now())
-	}
-	f.mu.Unlock()
+	now := p.timers.Now()
 	switch {
 	case err == nil:
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.calls.Succeeded(now)
 	case errors.Is(err, waxwingpick.ErrHistoryCompacted):
 		p.log.Info("key history expired: reading all keys again")
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.calls.Reset()
 	default:
-		f.markUnavailable()
+		f.markUnavailable(now)
 	}
 }
 
@@ -412,9 +409,9 @@
 
 // markUnavailable notifies the other gateways that the service did not respond to this one, and the sinks if it responds to no
 // relay either.
-func (f *follower) markUnavailable() {
-	now := f.process.timers.Now()
+func (f *follower) markUnavailable(now time.Time) {
 	f.mu.Lock()
+	f.calls.Failed(now)
 	f.feed.Failed()
 	if f.feed.Unavailable(now) {
 		for _, s := range f.sinks {
