--- a/core/targetlist/list.go
+++ b/core/targetlist/list.go
@@ -87,18 +87,14 @@
 	return events
 }
 
-func (l *List) record(kind EventKind, r row, now time.Time) {
-	if len(l.events) >= maxEvents {
-		return
-	}
-	e := Event{
-		Kind:   kind,
-		Target: r.target,
+func (l *List) record(kind EventKind, t waxwingpick.Target, missing time.Duration) {
+	if len(l.events) < maxEvents {
+		l.events = append(l.events, Event{
+			Kind:    kind,
+			Target:  t,
+			Missing: missing,
+		})
 	}
-	if !r.missingSince.IsZero() && !now.IsZero() {
-		e.Missing = now.Sub(r.missingSince)
-	}
-	l.events = append(l.events, e)
 }
 
 type row struct {
@@ -171,16 +167,15 @@
 	}
 	delete(l.held, t.ID)
 	delete(l.gone, t.ID)
-	known, ok := l.rows[t.ID]
-	r := row{
+	known := l.rows[t.ID]
+	l.rows[t.ID] = row{
 		target: t,
 	}
-	l.rows[t.ID] = r
-	if ok && !known.missingSince.IsZero() {
-		l.record(EventReturned, r, time.Time{})
+	if !known.missingSince.IsZero() {
+		l.record(EventReturned, t, 0)
 	}
-	if t.Leaving && (!ok || !known.target.Leaving) {
-		l.record(EventLeaving, r, time.Time{})
+	if t.Leaving && !known.target.Leaving {
+		l.record(EventLeaving, t, 0)
 	}
 }
 
@@ -198,22 +193,27 @@
 	if r.missingSince.IsZero() {
 		r.missingSince = now
 		l.rows[id] = r
-		l.record(EventRemovalDelayed, r, now)
+		l.record(EventRemovalDelayed, r.target, 0)
 	}
 }
 
 // delete removes a target and remembers it.
 func (l *List) delete(now time.Time, id waxwingpick.TargetID) {
+	r := l.rows[id]
 	if len(l.gone) >= maxGone {
 		maps.DeleteFunc(l.gone, func(_ waxwingpick.TargetID, r removal) bool { return now.Sub(r.at) >= goneTTL })
 	}
 	if len(l.gone) < maxGone {
 		l.gone[id] = removal{
-			target: l.rows[id].target,
+			target: r.target,
 			at:     now,
 		}
 	}
-	l.record(EventRemoved, l.rows[id], now)
+	missing := time.Duration(0)
+	if !r.missingSince.IsZero() {
+		missing = now.Sub(r.missingSince)
+	}
+	l.record(EventRemoved, r.target, missing)
 	delete(l.rows, id)
 }
 
