http1: closing idle connections after a loss is an option of the client

The clients of the store and of the platform's API each did it after each failed call, beside the shared client. The option does it there for every request, so that a failed probe does it too.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -32,6 +32,8 @@
 	pool        pool
 	maxResponse int
 	singleUse   bool
+	// closeIdle is set by CloseIdleOnLoss.
+	closeIdle bool
 }
 
 // SecureFunc secures a new connection, for example by TLS. It closes the connection if that fails.
@@ -68,6 +70,14 @@
 	}
 }
 
+// CloseIdleOnLoss closes the idle connections when a request fails, so that the next one opens a new connection. Where one
+// connection has gone silent, the others often have too.
+func CloseIdleOnLoss() Option {
+	return func(c *Client) {
+		c.closeIdle = true
+	}
+}
+
 // New returns a client for the IP address and port. maxResponseBytes bounds responses that are not streamed.
 func New(addr string, maxResponseBytes int, opts ...Option) *Client {
 	c := &Client{
@@ -93,12 +103,6 @@
 	c.pool.close()
 }
 
-// CloseIdle closes the connections that are not in use, so that the next request opens a new one. Where one connection has
-// gone silent, the others often have too.
-func (c *Client) CloseIdle() {
-	c.pool.closeIdle()
-}
-
 // Connect opens a connection and keeps it for a later request. It fails with ErrEngineUnreachable.
 func (c *Client) Connect(ctx context.Context) error {
 	cn, err := c.pool.dial(ctx)
@@ -156,6 +160,9 @@
 	c.fill(a.req, r)
 	if err := c.exchange(a, r); err != nil {
 		a.Close()
+		if c.closeIdle {
+			c.pool.closeIdle()
+		}
 		return nil, err
 	}
 	return a, nil
