--- a/internal/gateway/partition_test.go
+++ b/internal/gateway/partition_test.go
@@ -11,15 +11,12 @@
 	"time"
 
 	"github.com/rotisserie/eris"
-	logtest "github.com/sirupsen/logrus/hooks/test"
 	"github.com/stretchr/testify/require"
 
 	"waxwingpick"
 	"waxwingpick/core/feed"
-	"waxwingpick/core/retry"
 	"waxwingpick/core/routetable"
 	"waxwingpick/core/timer"
-	"waxwingpick/io/prometheus"
 )
 
 const (
@@ -200,24 +197,11 @@
 	for _, id := range []string{"stays", "gone", "late"} {
 		s.write(targetPrefix+id, "ready", false)
 	}
-	metrics, err := prometheus.NewGateway()
-	require.NoError(t, err)
-	logger, _ := logtest.NewNullLogger()
 	timers := timer.NewSystem()
-	p, err := New(Options{
-		Instance: "gateway",
-		Feed:     s,
-		Catalog:  cutCatalog(),
-		Targets:  unused{},
-		Timers:   timers,
-		Log:      logger,
-		Metrics:  metrics,
-		Retries: retry.Bounds{
-			Ratio:  0.2,
-			Slack:  50,
-			Window: 10 * time.Second,
-		},
-	})
+	o := testOptions(t, timers)
+	o.Feed = s
+	o.Catalog = cutCatalog()
+	p, err := New(o)
 	require.NoError(t, err)
 	p.Start()
 	t.Cleanup(func() {
--- a/internal/gateway/process_test.go
+++ b/internal/gateway/process_test.go
@@ -24,16 +24,26 @@
 
 // newProcess returns a process that does not serve yet, with its clock.
 func newProcess(t *testing.T, targets waxwingpick.Dispatcher) (*Process, *timer.Manual) {
+	t.Helper()
+	clock := timer.NewManual(time.Unix(1000, 0))
+	o := testOptions(t, clock)
+	o.Targets = targets
+	p, err := New(o)
+	require.NoError(t, err)
+	return p, clock
+}
+
+// testOptions returns the options of a process whose ports must not be called.
+func testOptions(t *testing.T, timers waxwingpick.Timers) Options {
 	t.Helper()
 	metrics, err := prometheus.NewGateway()
 	require.NoError(t, err)
-	clock := timer.NewManual(time.Unix(1000, 0))
 	logger, _ := logtest.NewNullLogger()
-	p, err := New(Options{
+	return Options{
 		Instance: "gateway",
 		Feed:     unused{},
-		Targets:  targets,
-		Timers:   clock,
+		Targets:  unused{},
+		Timers:   timers,
 		Log:      logger,
 		Metrics:  metrics,
 		Retries: retry.Bounds{
@@ -41,9 +51,7 @@
 			Slack:  50,
 			Window: 10 * time.Second,
 		},
-	})
-	require.NoError(t, err)
-	return p, clock
+	}
 }
 
 // TestReadyOnlyOnceServicesHaveTheirTargets performs the steps of a start one by one, in both orders. A process that
