Forward bodies and fields as they arrive

Cause: fasthttp parses a form when it reads a request, and encodes it anew for the handler, unless that is turned off. Only io/sidecar turned it off. The same cause on related paths, each seen in a test: fiber's Body decodes a body with Content-Encoding, and returns the text of its error for one that it cannot decode (io/openai, /services/...), and fasthttp encodes cookies anew on both sides.

The servers of internal/httpserver and of io/openai leave forms unparsed, io/openai passes on the raw body, and fields are read in their order and sent without special cases. The stand-ins record what arrives by the same means. Ruled out: chunked bodies, methods, paths, queries, and responses of every drawn media type, encoding and framing.

--- /dev/null
+++ b/internal/daemon/unchanged_test.go
@@ -0,0 +1,75 @@
+package daemon
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"waxwingpick/internal/loopback"
+	"waxwingpick/internal/rawhttp"
+	"waxwingpick/internal/standin/target"
+)
+
+// drawnMessages is the number of messages that a test sends through the gateway.
+const drawnMessages = 300
+
+// TestRequestReachesItsTargetUnchanged guards against parts of the gateway that interpret a request in place of forwarding it, as a
+// server that parses a form and encodes it anew does.
+func TestRequestReachesItsTargetUnchanged(t *testing.T) {
+	t.Parallel()
+	s := startTestGateway(t)
+	routes := []string{"/read/", "/order/", "/quick/"}
+	for seed := range drawnMessages {
+		r := rawhttp.Requests(routes[seed%len(routes)]).Example(seed)
+		id := fmt.Sprint("id", seed)
+		status, err := loopback.SendThenRead(s.boot.Callers, r.Encode("Host: a.example\r\nWaxwingpick-Request-Id: "+id+"\r\n"), false)
+		require.NoError(t, err)
+		require.Equal(t, http.StatusOK, status)
+		runs := s.runs()
+		i := slices.IndexFunc(runs, func(run target.Run) bool { return run.ID == id })
+		require.GreaterOrEqual(t, i, 0, "request has not run")
+		require.Equal(t, r.Method, runs[i].Method)
+		require.Equal(t, r.URI, runs[i].URI)
+		require.Equal(t, r.Body, runs[i].Body)
+		for _, f := range r.Fields {
+			require.Equal(t, f.Value, runs[i].Headers[f.Name], f.Name)
+		}
+	}
+}
+
+// TestResponseReachesItsCallerUnchanged guards against parts of the gateway that interpret a response, as a client that decodes its
+// body does.
+func TestResponseReachesItsCallerUnchanged(t *testing.T) {
+	t.Parallel()
+	s := startTestGateway(t)
+	responses := rawhttp.Responses()
+	for seed := range drawnMessages {
+		want := responses.Example(seed)
+		id := fmt.Sprint("Waxwingpick-Request-Id: id", seed, "\r\n")
+		setFaults(target.Faults{
+			Raw: want.Encode(id + "Waxwingpick-Server-Stamp: s\r\nConnection: close\r\n"),
+		}, s.services...)
+		c, err := net.Dial("tcp", s.boot.Callers)
+		require.NoError(t, err)
+		defer c.Close()
+		_, err = io.WriteString(c, "POST /order/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\n"+id+"\r\n")
+		require.NoError(t, err)
+		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
+		require.NoError(t, err)
+		defer resp.Body.Close()
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		require.Equal(t, want.Status, resp.StatusCode)
+		require.Equal(t, want.Body, string(body))
+		for _, f := range want.Fields {
+			require.Equal(t, f.Value, strings.Join(resp.Header[f.Name], "|"), f.Name)
+		}
+	}
+}
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -232,9 +232,12 @@
 	req.Header.SetRequestURI(r.URI)
 	req.Header.SetHost(cmp.Or(r.Host, c.pool.addr))
 	req.Header.SetNoDefaultContentType(true)
+	// Special fields are those that fasthttp parses and encodes anew, such as Cookie.
+	req.Header.DisableSpecialHeader()
 	for _, f := range r.Header {
 		req.Header.Add(f.Name, f.Value)
 	}
+	req.Header.EnableSpecialHeader()
 	req.SetBodyRaw(r.Body)
 }
 
--- a/internal/httpserver/server.go
+++ b/internal/httpserver/server.go
@@ -27,7 +27,8 @@
 	none   chan struct{}
 }
 
-// New returns a server that does not listen yet. It takes ownership of the fasthttp server and wraps its ConnState.
+// New returns a server that does not listen yet. It takes ownership of the fasthttp server and wraps its ConnState. The server leaves
+// the bodies of requests as they arrive: fasthttp would parse a form, and encode it anew for its handler.
 func New(server *fasthttp.Server) *Server {
 	s := &Server{
 		server:  server,
@@ -36,6 +37,7 @@
 		active:  make(map[net.Conn]struct{}),
 	}
 	server.ConnState = s.trackState
+	server.DisablePreParseMultipartForm = true
 	return s
 }
 
--- a/internal/standin/server/server.go
+++ b/internal/standin/server/server.go
@@ -87,6 +87,8 @@
 		Handler:               app.Handler(),
 		MaxRequestBodySize:    maxBodyBytes,
 		NoDefaultServerHeader: true,
+		// Stand-ins record bodies as they arrive.
+		DisablePreParseMultipartForm: true,
 		// The faults break connections, so errors are expected.
 		Logger:          log.New(io.Discard, "", 0),
 		CloseOnShutdown: true,
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -24,7 +24,8 @@
 // Run is a request that the service ran.
 type Run struct {
 	Method string `json:"method"`
-	Path   string `json:"path"`
+	// Path is the path with its query, as it was received.
+	Path string `json:"path"`
 	// Key is the Idempotency-Key header. The service ignores it.
 	Key  string `json:"key"`
 	Body string `json:"body"`
@@ -115,8 +116,7 @@
 
 func (s *Service) routes(app *fiber.App) {
 	app.Post(bookingsPath, s.serve)
-	app.Get(bookingsPath+"/:id", s.serve)
-	app.Put(bookingsPath+"/:id", s.serve)
+	app.All(bookingsPath+"/*", s.serve)
 	app.Get("/admin/runs", func(c fiber.Ctx) error {
 		return c.JSON(s.Runs())
 	})
@@ -127,9 +127,9 @@
 func (s *Service) serve(c fiber.Ctx) error {
 	a, ok := s.handle(Run{
 		Method: strings.Clone(c.Method()),
-		Path:   strings.Clone(c.Path()),
+		Path:   strings.Clone(c.OriginalURL()),
 		Key:    strings.Clone(c.Get(keyHeader)),
-		Body:   string(c.Body()),
+		Body:   string(c.BodyRaw()),
 	})
 	if !ok {
 		return nil
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -326,7 +326,7 @@
 		faults.AfterRun()
 	}
 	crashes := faults.crashesOn(c.Get("Waxwingpick-Prompt-Prefix"))
-	if faults.CrashOn != "" && string(c.Body()) == faults.CrashOn || crashes && faults.CrashAfter == 0 {
+	if faults.CrashOn != "" && string(c.BodyRaw()) == faults.CrashOn || crashes && faults.CrashAfter == 0 {
 		t.Crash()
 		return c.SendStatus(http.StatusServiceUnavailable)
 	}
@@ -386,10 +386,10 @@
 		ID:      strings.Clone(c.Get("Waxwingpick-Request-Id")),
 		Method:  strings.Clone(c.Method()),
 		URI:     strings.Clone(c.OriginalURL()),
-		Body:    string(c.Body()),
+		Body:    string(c.BodyRaw()),
 		Headers: make(map[string]string),
 	}
-	for name, value := range c.Request().Header.All() {
+	for name, value := range c.Request().Header.AllInOrder() {
 		if earlier, ok := r.Headers[string(name)]; ok {
 			value = []byte(earlier + "|" + string(value))
 		}
--- a/io/openai/server.go
+++ b/io/openai/server.go
@@ -1,6 +1,7 @@
 package openai
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -89,6 +90,8 @@
 		ErrorHandler:   handleError,
 		StrictRouting:  true,
 		CaseSensitive:  true,
+		// A form that the server parses would be encoded anew for its handler.
+		DisablePreParseMultipartForm: true,
 	})
 	s.app.Get("/healthz", func(c fiber.Ctx) error {
 		return c.SendStatus(fiber.StatusOK)
@@ -260,9 +263,11 @@
 	req := waxwingpick.CallRequest{
 		Method: strings.Clone(c.Method()),
 		Path:   strings.TrimPrefix(path, servicesPrefix+service),
-		Body:   append([]byte(nil), c.Body()...),
+		// Body would decode it.
+		Body: bytes.Clone(c.BodyRaw()),
 	}
-	for name, value := range c.Request().Header.All() {
+	// All would parse cookies and encode them anew.
+	for name, value := range c.Request().Header.AllInOrder() {
 		req.Headers = append(req.Headers, waxwingpick.Header{
 			Name:  string(name),
 			Value: string(value),
