io/openai: refuse a path that an attempt cannot carry

Cause: an entry sends the path of a call to a sidecar in JSON, which replaces bytes that are not UTF-8, so that the service got another path than the caller had sent. Such a path is refused with 400 and not run; RFC 3986 does not allow these bytes.

Before: TestCallReachesItsServiceUnchanged fails for a path with the byte E9 (200 instead of 400). After: it passes.

--- a/internal/demo/unchanged_test.go
+++ b/internal/demo/unchanged_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"testing"
+	"unicode/utf8"
 
 	"github.com/stretchr/testify/require"
 
@@ -22,6 +23,7 @@
 		PlainServices: 1,
 		Entries:       1,
 	})
+	ran := 0
 	for seed := range 300 {
 		r := rawhttp.Requests(fmt.Sprintf("/bookings/%d/", seed)).Example(seed)
 		want := standinservice.Run{
@@ -33,7 +35,13 @@
 		status, err := loopback.SendThenRead(c.Entries()[0].CallerAddr(), r.Encode("Host: a.example\r\n"), false)
 		require.NoError(t, err)
 		runs := c.Services()[0].Runs()
+		if !utf8.ValidString(r.URI) {
+			require.Equal(t, http.StatusBadRequest, status)
+			require.Len(t, runs, ran)
+			continue
+		}
 		require.Less(t, status, http.StatusInternalServerError)
+		ran = len(runs)
 		require.True(t, slices.Contains(runs, want), "%d: %q is not among %q", status, want, runs[max(0, len(runs)-1):])
 	}
 }
--- a/internal/rawhttp/message.go
+++ b/internal/rawhttp/message.go
@@ -56,7 +56,7 @@
 
 func drawRequest(t *rapid.T, prefix string) Request {
 	segments := rapid.SliceOfN(rapid.SampledFrom([]string{
-		"a", "", ".", "..", "%2F", "%2e%2E", "%zz", "%", "a+b%20c", ";b=c", "|<\">^`{}", "~:@!$&'()*,=", "[1]", "%00", "\u00e9",
+		"a", "", ".", "..", "%2F", "%2e%2E", "%zz", "%", "a+b%20c", ";b=c", "|<\">^`{}", "~:@!$&'()*,=", "[1]", "%00", "\u00e9", "\xe9",
 	}), 1, 4).Draw(t, "segments")
 	r := Request{
 		Message: drawMessage(t),
--- a/io/openai/server.go
+++ b/io/openai/server.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/google/uuid"
@@ -259,6 +260,13 @@
 	if len(path) > maxPathBytes {
 		return fiber.ErrRequestURITooLong
 	}
+	// Attempts are encoded as JSON, which would replace other bytes.
+	if !utf8.ValidString(path) {
+		return &FieldError{
+			Field:   "path",
+			Allowed: "UTF-8",
+		}
+	}
 	service := strings.Clone(c.Params("service"))
 	req := waxwingpick.CallRequest{
 		Method: strings.Clone(c.Method()),
