io/openai: refuse encoded model requests

Cause: fiber's Body decodes a body with Content-Encoding without a limit for its decoded size, so that a model request of some kilobytes takes any amount of memory; for a body that it cannot decode it returns the text of its error.

A model request with a Content-Encoding other than identity is refused with 415 and Accept-Encoding: identity, as not run.

Before: TestEncodedModelRequestIsRefused fails (200 for a body that decodes to 100 times the limit). After: it passes.

--- a/io/openai/server.go
+++ b/io/openai/server.go
@@ -44,6 +44,9 @@
 // requestIDHeader holds the caller's request ID in requests, and the server's request ID in responses.
 const requestIDHeader = "X-Request-Id"
 
+// identityEncoding is the Content-Encoding of a body without one.
+const identityEncoding = "identity"
+
 // defaultWorkspace is the workspace of requests without an OpenAI-Project header.
 const defaultWorkspace = "default"
 
@@ -138,13 +141,13 @@
 	})
 }
 
-// routingErrors are the codes of the errors that fiber returns for a request that it has read.
-var routingErrors = []int{fiber.StatusNotFound, fiber.StatusMethodNotAllowed}
+// readErrors are the codes of the errors for a request that the server has read.
+var readErrors = []int{fiber.StatusNotFound, fiber.StatusMethodNotAllowed, fiber.StatusUnsupportedMediaType}
 
 func handleError(c fiber.Ctx, err error) error {
 	var e *fiber.Error
 	if errors.As(err, &e) {
-		if !slices.Contains(routingErrors, e.Code) {
+		if !slices.Contains(readErrors, e.Code) {
 			// The request was not read completely, so the server closes the connection.
 			tcp.LingerOnClose(c.RequestCtx().Conn())
 		}
@@ -196,7 +199,12 @@
 	if err != nil {
 		return err
 	}
-	req, err := ParseRequest(strings.Clone(c.Path()), c.Body())
+	if encoding := c.Get(fiber.HeaderContentEncoding); encoding != "" && !strings.EqualFold(encoding, identityEncoding) {
+		// The size of a decoded body has no limit.
+		c.Set(fiber.HeaderAcceptEncoding, identityEncoding)
+		return fiber.ErrUnsupportedMediaType
+	}
+	req, err := ParseRequest(strings.Clone(c.Path()), c.BodyRaw())
 	if err != nil {
 		return err
 	}
