Deliver nothing of a call after it was given up

Cause: the connection of a call that was given up was closed in order. The kernel then delivers what the peer has not acknowledged at any later time, while core/duty takes the call to have ended. Evidence: behind a relay that holds data during a partition, reports, renewals, writes and requests of platform/ and calls of io/etcd arrive after they were given up, with and without TLS; none does once the connection is reset. Ruled out: a report sent after the end of the right to act.

An exchange of internal/http1 without a complete response aborts its connection, and before each request the kernel's limit (TCP_USER_TIMEOUT) is set to the request's deadline, for processes that are killed or do not run. io/etcd does both, io/jsonrpc sets the limit. loopback.Relay drops what it holds of a connection that is reset.

TestUndeliveredDataIsDiscarded shows the kernel's part.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -144,7 +144,8 @@
 
 // Send sends a request once and waits for the header of the response, or for the complete response if it is not
 // streamed. The caller must close the returned response. Send fails with ErrEngineUnreachable if no byte was sent, and
-// with ErrEngineLost if the request may have been received.
+// with ErrEngineLost if the request may have been received. What the peer has not received then, or when the time-out ends,
+// is not delivered later.
 func (c *Client) Send(ctx context.Context, r Request) (*Response, error) {
 	if err := context.Cause(ctx); err != nil {
 		return nil, fmt.Errorf("%w: %w", waxwingpick.ErrEngineUnreachable, err)
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/rotisserie/eris"
+
+	"waxwingpick/io/tcp"
 )
 
 const (
@@ -85,6 +87,14 @@
 	c.Close()
 }
 
+// abort closes a connection whose exchange was given up.
+func (p *pool) abort(c *conn) {
+	p.mu.Lock()
+	delete(p.open, c)
+	p.mu.Unlock()
+	tcp.Abort(c.Conn)
+}
+
 // closeIdle closes the connections that are not in use.
 func (p *pool) closeIdle() {
 	p.mu.Lock()
@@ -96,8 +106,9 @@
 	}
 }
 
-// close closes every connection, including those in use.
+// close closes the idle connections and aborts those in use.
 func (p *pool) close() {
+	p.closeIdle()
 	p.mu.Lock()
 	p.closed = true
 	open := p.open
@@ -105,7 +116,7 @@
 	p.idle = nil
 	p.mu.Unlock()
 	for c := range open {
-		c.Close()
+		tcp.Abort(c.Conn)
 	}
 }
 
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -14,6 +14,7 @@
 	"github.com/valyala/fasthttp"
 
 	"waxwingpick"
+	"waxwingpick/io/tcp"
 )
 
 // chunkedLength is fasthttp's content length of a body in chunks.
@@ -198,8 +199,8 @@
 	return a.client.pool.idleFor
 }
 
-// Close releases the response. If the body was not read to its end, the connection is closed, so that no later exchange
-// reads the rest.
+// Close releases the response. If the body was not read to its end, the connection is aborted: no later exchange reads the rest, and
+// the peer receives nothing more of the request.
 func (a *Response) Close() {
 	a.mu.Lock()
 	if a.closed {
@@ -222,8 +223,10 @@
 	case reusable:
 		a.conn.idleFor = reusableFor
 		a.client.pool.put(a.conn, time.Now())
-	default:
+	case a.complete:
 		a.client.pool.drop(a.conn)
+	default:
+		a.client.pool.abort(a.conn)
 	}
 }
 
@@ -234,6 +237,7 @@
 	a.conn = c
 	// SetDeadline fails only on a connection that also fails the next write.
 	_ = c.SetDeadline(deadline)
+	tcp.LimitDelivery(c.Conn, time.Until(deadline))
 	if a.ctx.Done() != nil && a.stopInterrupt == nil {
 		a.stopInterrupt = context.AfterFunc(a.ctx, a.Interrupt)
 	}
@@ -248,7 +252,7 @@
 	c := a.conn
 	a.conn = nil
 	a.mu.Unlock()
-	a.client.pool.drop(c)
+	a.client.pool.abort(c)
 }
 
 // headerRead is called when the header has been read, and the body too unless it is streamed.
--- a/internal/loopback/relay.go
+++ b/internal/loopback/relay.go
@@ -7,7 +7,7 @@
 	"sync"
 )
 
-// bufferBytes is the maximum that a relay buffers for each direction of a connection.
+// bufferBytes is the maximum that a relay reads at once.
 const bufferBytes = 16 << 10
 
 // Direction is a direction of a relayed connection.
@@ -20,7 +20,7 @@
 )
 
 // Relay forwards connections to a target and can block either direction, as a network partition does. Data that was sent
-// during the partition arrives after it has healed, if the sender still waits.
+// during the partition arrives after it has healed, unless its sender has reset the connection.
 type Relay struct {
 	addr   string
 	target string
@@ -68,7 +68,11 @@
 // proxy relays a connection to the target. While Forward is cut it waits, as a caller does when its SYN is lost.
 func (r *Relay) proxy(from net.Conn) {
 	defer from.Close()
-	<-r.gate(Forward)
+	caller := newSource(from)
+	defer caller.discard()
+	if !r.await(Forward, caller) {
+		return
+	}
 	to, err := net.Dial("tcp", r.target)
 	if err != nil {
 		return
@@ -76,37 +80,97 @@
 	defer to.Close()
 	r.track(from, to)
 	defer r.untrack(from, to)
+	target := newSource(to)
+	defer target.discard()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		r.copy(from, to, Backward)
+		r.copy(from, target, Backward)
 	}()
-	r.copy(to, from, Forward)
+	r.copy(to, caller, Forward)
 	<-done
 }
 
-func (r *Relay) copy(to, from net.Conn, d Direction) {
-	buf := make([]byte, bufferBytes)
+func (r *Relay) copy(to net.Conn, from *source, d Direction) {
+	for data := range from.data {
+		if !r.await(d, from) {
+			to.Close()
+			return
+		}
+		if _, err := to.Write(data); err != nil {
+			from.conn.Close()
+			return
+		}
+	}
+	select {
+	case <-from.reset:
+		to.Close()
+	default:
+		if r.await(d, from) {
+			_ = to.(*net.TCPConn).CloseWrite()
+		}
+	}
+}
+
+// await waits until the direction is open. It returns false if the sender resets its connection before.
+func (r *Relay) await(d Direction, from *source) bool {
+	open := r.gate(d)
+	select {
+	case <-open:
+		return true
+	default:
+	}
+	select {
+	case <-open:
+		return true
+	case <-from.reset:
+		return false
+	}
+}
+
+// source reads ahead from a connection, so that its reset is noticed while data waits.
+type source struct {
+	conn net.Conn
+	data chan []byte
+	// reset is closed when the connection fails, other than by its end.
+	reset chan struct{}
+}
+
+func newSource(c net.Conn) *source {
+	s := &source{
+		conn:  c,
+		data:  make(chan []byte, 1),
+		reset: make(chan struct{}),
+	}
+	go s.read()
+	return s
+}
+
+func (s *source) read() {
+	defer close(s.data)
 	for {
-		n, err := from.Read(buf)
-		<-r.gate(d)
+		buf := make([]byte, bufferBytes)
+		n, err := s.conn.Read(buf)
 		if n > 0 {
-			if _, writeErr := to.Write(buf[:n]); writeErr != nil {
-				from.Close()
-				return
-			}
+			s.data <- buf[:n]
 		}
 		if err == io.EOF {
-			_ = to.(*net.TCPConn).CloseWrite()
 			return
 		}
 		if err != nil {
-			to.Close()
+			close(s.reset)
 			return
 		}
 	}
 }
 
+// discard closes the connection and ends read.
+func (s *source) discard() {
+	s.conn.Close()
+	for range s.data {
+	}
+}
+
 func (r *Relay) gate(d Direction) <-chan struct{} {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/io/etcd/client.go
+++ b/io/etcd/client.go
@@ -13,6 +13,7 @@
 	"waxwingpick"
 	"waxwingpick/core/background"
 	"waxwingpick/core/timer"
+	"waxwingpick/io/tcp"
 )
 
 const (
@@ -90,7 +91,7 @@
 	}
 	c.http = &fasthttp.HostClient{
 		Addr:                      addr,
-		Dial:                      dial,
+		Dial:                      c.dial,
 		MaxConns:                  maxConns,
 		MaxIdleConnDuration:       maxIdle,
 		MaxConnWaitTimeout:        c.timeout,
@@ -120,14 +121,15 @@
 
 func (e *dialError) Unwrap() error { return e.err }
 
-func dial(addr string) (net.Conn, error) {
+// dial opens a connection that delivers nothing of a call whose time-out has ended.
+func (c *Client) dial(addr string) (net.Conn, error) {
 	conn, err := net.DialTimeout("tcp", addr, dialTimeout)
 	if err != nil {
 		return nil, &dialError{
 			err: err,
 		}
 	}
-	return conn, nil
+	return tcp.AbortUnanswered(conn, c.timeout), nil
 }
 
 // notSent reports whether the error occurred before any byte was sent.
--- a/io/jsonrpc/client.go
+++ b/io/jsonrpc/client.go
@@ -162,6 +162,8 @@
 		if err != nil {
 			return nil, err
 		}
+		// The connection outlives calls that were given up.
+		tcp.LimitDelivery(raw, DefaultTimeout)
 		c, err := credentials.Connect(ctx, raw, mtls.RoleEntry, mtls.RoleSidecar)
 		if err != nil {
 			return nil, err
