core/targetlist: order entries by start and number, not by arrival

Cause: the list took the entry that arrived last for the newest, and compared start and sequence only after the store had returned from an older copy. An entry that is older than the latest one known of its target, also of a removed one, is now ignored. A newer one that brings a leaving or removed incarnation back is held until the target writes again, as the last write before a removal may be late too. This replaces the mechanism for older copies, whose contradicting entries applied after 6 s; TestTargetsDoNotGoBackWithTheList and TestEntriesAreHeldBackForATime now ask that an older entry never applies. Two more changes are logged and counted: outdated and held.

--- a/core/targetlist/list.go
+++ b/core/targetlist/list.go
@@ -14,10 +14,11 @@
 const RemovalGrace = 1900 * time.Millisecond
 
 const (
-	// RestoreHold is how long entries of an older copy of the list are held back if they contradict what is known. Targets
-	// that live write their entries again meanwhile, and those of others expire.
-	RestoreHold = 6 * time.Second
-	// goneTTL is how long removed targets are remembered. It exceeds the age of a copy and the time until it is read.
+	// HoldTime is how long an entry is held back that brings a leaving or removed incarnation back. Targets that live write their
+	// entries again meanwhile, and those of others expire.
+	HoldTime = 6 * time.Second
+	// goneTTL is how long removed targets are remembered. It exceeds the age of a copy of the list, and the time after which the
+	// service executes a write that it has not answered.
 	goneTTL = time.Minute
 	// maxGone bounds the removed targets that are remembered.
 	maxGone = 4096
@@ -25,14 +26,14 @@
 
 // List is one process's copy of the platform's list. It is not safe for concurrent use.
 //
-// The service may return from an older copy of the list. What is known of an incarnation of a target does not go back then: it
-// stays leaving, removed or replaced by a later incarnation until it writes its entry again.
+// An entry may be older than what is known of its target: the service executes a write late that it has not answered, or returns from
+// an older copy of the list. Such an entry is ignored. One that is newer, but brings a leaving or removed incarnation back, is held
+// back until the target has written again.
 type List struct {
 	rows map[waxwingpick.TargetID]row
-	// gone holds the targets that were removed lately, held the entries of a copy that are held back.
+	// gone holds the targets that were removed lately, held the entries that are held back.
 	gone        map[waxwingpick.TargetID]removal
-	held        map[waxwingpick.TargetID]waxwingpick.Target
-	restoredAt  time.Time
+	held        map[waxwingpick.TargetID]heldEntry
 	unavailable bool
 	// availableSince is when the service last returned from an outage; zero if it has been available all the time.
 	availableSince time.Time
@@ -53,6 +54,10 @@
 	EventRemovalDelayed
 	// EventReturned means that a missing entry was written again within the grace period.
 	EventReturned
+	// EventOutdated means that an entry was ignored since it is older than what is known of its target.
+	EventOutdated
+	// EventHeld means that an entry is held back since it brings a leaving or removed incarnation back.
+	EventHeld
 )
 
 // String returns the name used in logs and metrics.
@@ -64,9 +69,14 @@
 		return "removed"
 	case EventRemovalDelayed:
 		return "removalDelayed"
-	default:
+	case EventReturned:
 		return "returned"
+	case EventOutdated:
+		return "outdated"
+	case EventHeld:
+		return "held"
 	}
+	return "unknown"
 }
 
 // Event is a change of what is known of a target.
@@ -109,41 +119,67 @@
 	at     time.Time
 }
 
+// heldEntry is an entry that is held back.
+type heldEntry struct {
+	target waxwingpick.Target
+	since  time.Time
+}
+
 // New returns an empty list.
 func New() *List {
 	return &List{
 		rows: make(map[waxwingpick.TargetID]row),
 		gone: make(map[waxwingpick.TargetID]removal),
-		held: make(map[waxwingpick.TargetID]waxwingpick.Target),
+		held: make(map[waxwingpick.TargetID]heldEntry),
 	}
 }
 
-// MarkRestored records that the service has returned from an older copy of the list, which is read next.
-func (l *List) MarkRestored(now time.Time) {
-	l.restoredAt = now
-}
-
-// restored reports whether entries may be those of an older copy.
-func (l *List) restored(now time.Time) bool {
-	return !l.restoredAt.IsZero() && now.Sub(l.restoredAt) < RestoreHold
+// compareWrites compares two entries of a target by the time at which it wrote them: first its starts, then its writes since then.
+func compareWrites(a, b waxwingpick.Target) int {
+	return cmp.Or(cmp.Compare(a.StartUnixMillis, b.StartUnixMillis), cmp.Compare(a.Sequence, b.Sequence))
 }
 
-// contradicts reports whether an entry of an older copy contradicts what is known of its target.
-func (l *List) contradicts(now time.Time, t waxwingpick.Target) bool {
-	if known, ok := l.rows[t.ID]; ok {
-		start := known.target.StartUnixMillis
-		return t.StartUnixMillis < start || t.StartUnixMillis == start && known.target.Leaving && !t.Leaving
+// latest returns the latest entry that is known of a target, and whether the target was removed since.
+func (l *List) latest(now time.Time, id waxwingpick.TargetID) (t waxwingpick.Target, removed, ok bool) {
+	if r, ok := l.rows[id]; ok {
+		return r.target, false, true
 	}
-	removed, ok := l.gone[t.ID]
-	return ok && now.Sub(removed.at) < goneTTL && t.StartUnixMillis <= removed.target.StartUnixMillis
+	if r, ok := l.gone[id]; ok && now.Sub(r.at) < goneTTL {
+		return r.target, true, true
+	}
+	return waxwingpick.Target{}, false, false
 }
 
-// follows reports whether an entry was written after another one of the same target.
-func follows(t, earlier waxwingpick.Target) bool {
-	if t.StartUnixMillis != earlier.StartUnixMillis {
-		return t.StartUnixMillis > earlier.StartUnixMillis
+// verdict is what becomes of an entry.
+type verdict uint8
+
+const (
+	apply verdict = iota
+	ignore
+	hold
+)
+
+// judge decides what becomes of an entry, given what is known of its target.
+func (l *List) judge(now time.Time, t waxwingpick.Target) verdict {
+	known, removed, ok := l.latest(now, t.ID)
+	if !ok {
+		return apply
 	}
-	return t.Sequence > earlier.Sequence
+	held, isHeld := l.held[t.ID]
+	switch {
+	case t.StartUnixMillis == 0 && known.StartUnixMillis == 0:
+		// Entries of no known incarnation have no order.
+		return apply
+	case compareWrites(t, known) < 0:
+		return ignore
+	case t.StartUnixMillis > known.StartUnixMillis:
+		return apply
+	case !removed && (!known.Leaving || t.Leaving):
+		return apply
+	case isHeld && compareWrites(t, held.target) > 0:
+		return apply
+	}
+	return hold
 }
 
 // MarkUnavailable records that the service does not respond.
@@ -159,12 +195,20 @@
 	}
 }
 
-// Put adds or replaces the entry of a target.
-func (l *List) Put(t waxwingpick.Target) {
-	if held, ok := l.held[t.ID]; ok && !follows(t, held) {
-		l.held[t.ID] = t
-		return
+// Put records the entry of a target, which is added or replaced unless the entry is outdated or held back.
+func (l *List) Put(now time.Time, t waxwingpick.Target) {
+	switch l.judge(now, t) {
+	case apply:
+		l.put(t)
+	case ignore:
+		l.record(EventOutdated, t, 0)
+	case hold:
+		l.hold(now, t)
 	}
+}
+
+// put adds or replaces the entry of a target.
+func (l *List) put(t waxwingpick.Target) {
 	delete(l.held, t.ID)
 	delete(l.gone, t.ID)
 	known := l.rows[t.ID]
@@ -179,6 +223,21 @@
 	}
 }
 
+// hold keeps what is known of a target, and its entry until the target has written again.
+func (l *List) hold(now time.Time, t waxwingpick.Target) {
+	if _, ok := l.held[t.ID]; !ok {
+		l.held[t.ID] = heldEntry{
+			target: t,
+			since:  now,
+		}
+		l.record(EventHeld, t, 0)
+	}
+	if known, ok := l.rows[t.ID]; ok {
+		known.missingSince = time.Time{}
+		l.rows[t.ID] = known
+	}
+}
+
 // Remove records that the entry of a target is missing.
 func (l *List) Remove(now time.Time, id waxwingpick.TargetID) {
 	delete(l.held, id)
@@ -222,36 +281,23 @@
 	named := waxwingpick.NewSet[waxwingpick.TargetID]()
 	for _, t := range targets {
 		named.Add(t.ID)
-		if l.restored(now) && l.contradicts(now, t) {
-			l.hold(t)
-			continue
-		}
-		l.Put(t)
+		l.Put(now, t)
 	}
 	for id := range l.rows {
 		if !named.Has(id) {
 			l.Remove(now, id)
 		}
 	}
+	maps.DeleteFunc(l.held, func(id waxwingpick.TargetID, _ heldEntry) bool { return !named.Has(id) })
 }
 
-// hold keeps what is known of a target, whose entry is that of an older copy.
-func (l *List) hold(t waxwingpick.Target) {
-	l.held[t.ID] = t
-	if known, ok := l.rows[t.ID]; ok {
-		known.missingSince = time.Time{}
-		l.rows[t.ID] = known
-	}
-}
-
-// Expire removes the targets whose entries are still missing after the grace period, applies the entries that are no longer
-// held back, and reports whether there were any.
+// Expire removes the targets whose entries are still missing after the grace period, applies the entries that were held back
+// for long enough, and reports whether there were any.
 func (l *List) Expire(now time.Time) bool {
 	changed := false
-	if !l.restored(now) {
-		for id, t := range l.held {
-			delete(l.held, id)
-			l.Put(t)
+	for _, h := range l.held {
+		if now.Sub(h.since) >= HoldTime {
+			l.put(h.target)
 			changed = true
 		}
 	}
--- a/core/targetlist/list_test.go
+++ b/core/targetlist/list_test.go
@@ -49,7 +49,7 @@
 	l.MarkAvailable(back)
 	l.Replace(back, nil)
 	require.Equal(t, []waxwingpick.TargetID{"gone", "lives"}, ids(l))
-	l.Put(target("lives"))
+	l.Put(start, target("lives"))
 	require.False(t, l.Expire(back.Add(targetlist.RemovalGrace-time.Millisecond)))
 	require.True(t, l.Expire(back.Add(targetlist.RemovalGrace)))
 	require.Equal(t, []waxwingpick.TargetID{"lives"}, ids(l))
@@ -62,11 +62,11 @@
 	leaving.Leaving = true
 	l.Replace(start, []waxwingpick.Target{target("a"), target("back"), target("gone")})
 	l.MarkUnavailable()
-	l.Put(leaving)
-	l.Put(leaving)
+	l.Put(start, leaving)
+	l.Put(start, leaving)
 	l.MarkAvailable(start)
 	l.Replace(start, nil)
-	l.Put(target("back"))
+	l.Put(start, target("back"))
 	l.Expire(start.Add(targetlist.RemovalGrace))
 	var told []string
 	for _, e := range l.TakeEvents() {
@@ -88,7 +88,7 @@
 	l := targetlist.New()
 	leaving := target("a")
 	leaving.Leaving = true
-	l.Put(leaving)
+	l.Put(start, leaving)
 	l.MarkUnavailable()
 	l.MarkAvailable(start)
 	l.Remove(start, "a")
@@ -114,7 +114,7 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"put": func(*rapid.T) {
 				n := id()
-				l.Put(target(n))
+				l.Put(start, target(n))
 				live[n] = true
 				delete(held, n)
 			},
@@ -234,7 +234,7 @@
 		"ready": {
 			known:  []waxwingpick.Target{written("a", 1, 5, false)},
 			copied: []waxwingpick.Target{written("a", 1, 3, false)},
-			want:   []waxwingpick.Target{written("a", 1, 3, false)},
+			want:   []waxwingpick.Target{written("a", 1, 5, false)},
 		},
 	}
 	for name, tt := range tests {
@@ -246,10 +246,9 @@
 			}
 			l.MarkUnavailable()
 			l.MarkAvailable(at)
-			l.MarkRestored(at)
 			l.Replace(at, tt.copied)
 			for _, later := range tt.later {
-				l.Put(later)
+				l.Put(at, later)
 			}
 			require.ElementsMatch(t, tt.want, l.Targets())
 			require.False(t, l.Expire(at.Add(time.Second)))
@@ -258,21 +257,90 @@
 	}
 }
 
-// TestEntriesOfACopyAreHeldBackForATime checks that a contradicting entry that stays in the list applies in the end.
-func TestEntriesOfACopyAreHeldBackForATime(t *testing.T) {
-	l := targetlist.New()
-	l.Replace(start, []waxwingpick.Target{written("a", 1, 5, true)})
-	l.MarkRestored(start)
-	l.Replace(start, []waxwingpick.Target{written("a", 1, 3, false)})
-	require.False(t, l.Expire(start.Add(targetlist.RestoreHold-time.Millisecond)))
-	require.True(t, l.Expire(start.Add(targetlist.RestoreHold)))
-	require.Equal(t, []waxwingpick.Target{written("a", 1, 3, false)}, l.Targets())
+// TestEntriesAreHeldBackForATime checks that an entry that brings a leaving or removed incarnation back applies in the end, if it stays
+// in the list and is not outdated.
+func TestEntriesAreHeldBackForATime(t *testing.T) {
+	back := written("a", 1, 7, false)
+	for name, tt := range map[string]struct {
+		known waxwingpick.Target
+		gone  bool
+		read  waxwingpick.Target
+		want  []waxwingpick.Target
+	}{
+		"leaving":           {known: written("a", 1, 5, true), read: back, want: []waxwingpick.Target{back}},
+		"removed":           {known: written("a", 1, 5, false), gone: true, read: back, want: []waxwingpick.Target{back}},
+		"leaving, outdated": {known: written("a", 1, 5, true), read: written("a", 1, 3, false), want: []waxwingpick.Target{written("a", 1, 5, true)}},
+		"removed, outdated": {known: written("a", 1, 5, false), gone: true, read: written("a", 1, 3, false)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			l := targetlist.New()
+			l.Replace(start, []waxwingpick.Target{tt.known})
+			if tt.gone {
+				l.Remove(start, "a")
+			}
+			before := l.Targets()
+			l.Replace(start, []waxwingpick.Target{tt.read})
+			require.False(t, l.Expire(start.Add(targetlist.HoldTime-time.Millisecond)))
+			require.Equal(t, before, l.Targets())
+			l.Expire(start.Add(targetlist.HoldTime))
+			require.ElementsMatch(t, tt.want, l.Targets())
 
-	l = targetlist.New()
-	l.Replace(start, []waxwingpick.Target{written("a", 1, 5, true)})
-	l.MarkRestored(start)
-	l.Replace(start, []waxwingpick.Target{written("a", 1, 3, false)})
-	l.Remove(start.Add(time.Second), "a")
-	l.Expire(start.Add(targetlist.RestoreHold))
-	require.Empty(t, l.Targets(), "the entry expired")
+			l = targetlist.New()
+			l.Replace(start, []waxwingpick.Target{tt.known})
+			if tt.gone {
+				l.Remove(start, "a")
+			}
+			l.Replace(start, []waxwingpick.Target{tt.read})
+			l.Replace(start.Add(time.Second), nil)
+			l.Expire(start.Add(targetlist.HoldTime))
+			require.Empty(t, l.Targets(), "the entry expired")
+		})
+	}
+}
+
+// TestLateWritesDoNotBringTargetsBack guards against writes that the service executes after later ones of the same target, or after its
+// removal: new work would reach a target that has left.
+func TestLateWritesDoNotBringTargetsBack(t *testing.T) {
+	ready, leaving := written("a", 2, 5, false), written("a", 2, 5, true)
+	for name, tt := range map[string]struct {
+		known waxwingpick.Target
+		gone  bool
+		late  []waxwingpick.Target
+		want  []waxwingpick.Target
+	}{
+		"leaving":                                {known: leaving, late: []waxwingpick.Target{written("a", 2, 3, false)}, want: []waxwingpick.Target{leaving}},
+		"leaving, two late writes":               {known: leaving, late: []waxwingpick.Target{written("a", 2, 3, false), written("a", 2, 4, false)}, want: []waxwingpick.Target{leaving}},
+		"removed, had said that it leaves":       {known: leaving, gone: true, late: []waxwingpick.Target{written("a", 2, 3, false)}},
+		"removed, had not said that it leaves":   {known: ready, gone: true, late: []waxwingpick.Target{written("a", 2, 3, false)}},
+		"removed, late write was the last":       {known: ready, gone: true, late: []waxwingpick.Target{written("a", 2, 6, false)}},
+		"removed, lives":                         {known: ready, gone: true, late: []waxwingpick.Target{written("a", 2, 6, false), written("a", 2, 7, false)}, want: []waxwingpick.Target{written("a", 2, 7, false)}},
+		"earlier incarnation":                    {known: ready, late: []waxwingpick.Target{written("a", 1, 9, false)}, want: []waxwingpick.Target{ready}},
+		"earlier incarnation, removed":           {known: ready, gone: true, late: []waxwingpick.Target{written("a", 1, 9, false)}},
+		"start is missing":                       {known: leaving, late: []waxwingpick.Target{written("a", 0, 9, false)}, want: []waxwingpick.Target{leaving}},
+		"number is missing":                      {known: leaving, late: []waxwingpick.Target{written("a", 2, 0, false)}, want: []waxwingpick.Target{leaving}},
+		"later incarnation, its numbers restart": {known: leaving, late: []waxwingpick.Target{written("a", 3, 1, false)}, want: []waxwingpick.Target{written("a", 3, 1, false)}},
+		"later incarnation, removed":             {known: leaving, gone: true, late: []waxwingpick.Target{written("a", 3, 1, false)}, want: []waxwingpick.Target{written("a", 3, 1, false)}},
+		"no longer leaving":                      {known: leaving, late: []waxwingpick.Target{written("a", 2, 6, false), written("a", 2, 7, false)}, want: []waxwingpick.Target{written("a", 2, 7, false)}},
+		"no incarnation is known":                {known: written("a", 0, 0, true), late: []waxwingpick.Target{written("a", 0, 0, false)}, want: []waxwingpick.Target{written("a", 0, 0, false)}},
+	} {
+		for _, complete := range []bool{false, true} {
+			t.Run(fmt.Sprint(name, ", complete reading ", complete), func(t *testing.T) {
+				l := targetlist.New()
+				l.Put(start, tt.known)
+				if tt.gone {
+					l.Remove(start, "a")
+				}
+				now := start
+				for _, late := range tt.late {
+					now = now.Add(time.Second)
+					if complete {
+						l.Replace(now, []waxwingpick.Target{late})
+					} else {
+						l.Put(now, late)
+					}
+				}
+				require.ElementsMatch(t, tt.want, l.Targets())
+			})
+		}
+	}
 }
--- a/internal/daemon/restore_test.go
+++ b/internal/daemon/restore_test.go
@@ -48,9 +48,9 @@
 				require.Equal(t, http.StatusOK, status, "the latest configuration at %s", m.boot.Instance)
 			}
 		}
-		// The target does not write its entry again, so that the one of the copy applies after RestoreHold.
+		// The target does not write its entry again, so that the one of the copy applies after HoldTime.
 		for _, at := range f.services[0].Arrivals()[arrived:] {
-			require.GreaterOrEqual(t, at.Sub(restored), targetlist.RestoreHold, "a request to the leaving target")
+			require.GreaterOrEqual(t, at.Sub(restored), targetlist.HoldTime, "a request to the leaving target")
 		}
 
 		// What the operators and the target wrote is written again.
--- a/internal/gateway/dutyhost.go
+++ b/internal/gateway/dutyhost.go
@@ -256,6 +256,3 @@
 func (h *dutyHost) serviceDown()        {}
 func (h *dutyHost) serviceUp(time.Time) {}
 func (h *dutyHost) batchApplied()       {}
-
-// serviceRestored changes nothing: the machine learns of a new era from the position of the feed.
-func (h *dutyHost) serviceRestored(time.Time) {}
--- a/internal/gateway/follow.go
+++ b/internal/gateway/follow.go
@@ -36,8 +36,6 @@
 	// serviceDown reports an outage of the key-value service, and serviceUp the time of its recovery.
 	serviceDown()
 	serviceUp(at time.Time)
-	// serviceRestored reports that the service returned from an older copy, whose keys are applied next.
-	serviceRestored(now time.Time)
 	// batchApplied is called after each batch of changes.
 	batchApplied()
 }
@@ -314,9 +312,6 @@
 			"before": before.String(),
 			"after":  at.String(),
 		}).Warn("key-value service returned from an older copy: all keys read again")
-		for _, s := range f.sinks {
-			s.serviceRestored(now)
-		}
 	}
 	f.markAvailable(now, sourceSnapshot)
 	o := origin{
--- a/internal/gateway/gossip_zones_test.go
+++ b/internal/gateway/gossip_zones_test.go
@@ -77,7 +77,7 @@
 			}
 			targets.replace(nil)
 			for _, id := range []waxwingpick.TargetID{"a", "b"} {
-				p.list.Put(waxwingpick.Target{
+				p.list.Put(p.timers.Now(), waxwingpick.Target{
 					ID:      id,
 					Service: "llm",
 					Zone:    "zone0",
--- a/internal/gateway/peers.go
+++ b/internal/gateway/peers.go
@@ -121,9 +121,6 @@
 func (s *peers) serviceDown()        {}
 func (s *peers) serviceUp(time.Time) {}
 
-// serviceRestored changes nothing: gateways whose entries are missing write them again within the grace period.
-func (s *peers) serviceRestored(time.Time) {}
-
 // batchApplied updates the number of gateways.
 func (s *peers) batchApplied() {
 	s.expire(s.process.timers.Now())
--- a/internal/gateway/sinks.go
+++ b/internal/gateway/sinks.go
@@ -62,9 +62,6 @@
 func (s *routesSink) serviceUp(time.Time) {}
 func (s *routesSink) batchApplied()       {}
 
-// serviceRestored changes nothing: a configuration stays active until a newer version comes.
-func (s *routesSink) serviceRestored(time.Time) {}
-
 // targetsSink maintains the list of targets.
 type targetsSink struct {
 	process *Process
@@ -101,7 +98,7 @@
 	}
 	p.listMu.Lock()
 	defer p.listMu.Unlock()
-	p.list.Put(t)
+	p.list.Put(p.timers.Now(), t)
 }
 
 func (s *targetsSink) remove(key string) {
@@ -136,12 +133,6 @@
 	s.process.list.MarkAvailable(at)
 }
 
-func (s *targetsSink) serviceRestored(now time.Time) {
-	s.process.listMu.Lock()
-	defer s.process.listMu.Unlock()
-	s.process.list.MarkRestored(now)
-}
-
 func (s *targetsSink) batchApplied() {
 	s.process.logTargets(s.origin)
 	s.process.updateServices()
--- a/internal/gateway/zoneshares_test.go
+++ b/internal/gateway/zoneshares_test.go
@@ -24,7 +24,7 @@
 		p.shares = newZoneShares(g)
 		for z := range zones {
 			for i := range 2 {
-				p.list.Put(waxwingpick.Target{
+				p.list.Put(p.timers.Now(), waxwingpick.Target{
 					ID:      waxwingpick.TargetID(fmt.Sprint("engine", z, "-", i)),
 					Service: "llm",
 					Zone:    waxwingpick.AvailabilityZone(fmt.Sprint("zone", z)),
