Avoid connections to targets that may have gone silent

Where all open connections to targets go silent while new ones work, requests were sent over one silent connection after the other, each up to its deadline, until the idle ones expired (4.5 s where a target announces 5 s). The store's client closes its idle connections when a call fails; those of targets and sidecars did not.

A request on a reused connection without a response for a second now marks the connections that were last used before it: they are closed instead of reused. Connections that were used since have shown that they work, so that a slow target costs some new connections only.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -78,6 +78,14 @@
 	}
 }
 
+// SilenceTimeout sets the time without a response after which a reused connection may have gone silent. The connections that were
+// last used before its request are not used again then, and the next request opens a new one.
+func SilenceTimeout(d time.Duration) Option {
+	return func(c *Client) {
+		c.pool.silence = d
+	}
+}
+
 // New returns a client for the IP address and port. maxResponseBytes bounds responses that are not streamed.
 func New(addr string, maxResponseBytes int, opts ...Option) *Client {
 	c := &Client{
@@ -86,6 +94,7 @@
 			idleFor: idleTimeout,
 			maxOpen: maxConnections,
 			open:    make(map[*conn]struct{}),
+			waiting: make(map[*conn]time.Time),
 			secure: func(_ context.Context, c net.Conn) (net.Conn, error) {
 				return c, nil
 			},
@@ -183,6 +192,7 @@
 			}
 			return fmt.Errorf("%w: read response of %s: %w", waxwingpick.ErrEngineLost, c.pool.addr, a.withCause(err))
 		}
+		c.pool.answered(a.conn)
 		a.origin = a.originOf(r.Echo)
 		if a.origin == originUnknown {
 			return fmt.Errorf("%w: %s: %w", waxwingpick.ErrEngineLost, c.pool.addr, errUnidentified)
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -35,10 +35,18 @@
 	// connections.
 	idleFor time.Duration
 	maxOpen int
-	mu      sync.Mutex
-	closed  bool
-	idle    []*conn
-	open    map[*conn]struct{}
+	// silence is the time without a response after which a reused connection may have gone silent; zero for no limit.
+	silence time.Duration
+
+	mu     sync.Mutex
+	closed bool
+	idle   []*conn
+	open   map[*conn]struct{}
+	// waiting holds the reused connections without a response, with the time of their requests.
+	waiting map[*conn]time.Time
+	// silentSince is the time of the latest request that was without a response for too long. Connections that were last used
+	// before may be silent too.
+	silentSince time.Time
 }
 
 // get returns a usable idle connection, or a new one.
@@ -48,7 +56,7 @@
 		if c == nil {
 			return p.dial(ctx)
 		}
-		if c.usable(now) {
+		if c.usable(now) && p.await(c, now) {
 			c.sent = 0
 			return c, nil
 		}
@@ -56,6 +64,40 @@
 	}
 }
 
+// await records that a request is sent on a connection now. It returns false if the connection may have gone silent.
+func (p *pool) await(c *conn, now time.Time) bool {
+	if p.silence == 0 {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, since := range p.waiting {
+		p.observeSilence(now, since)
+	}
+	if c.idleSince.Before(p.silentSince) {
+		return false
+	}
+	p.waiting[c] = now
+	return true
+}
+
+// answered records that a response has begun on a connection.
+func (p *pool) answered(c *conn) {
+	if p.silence == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.waiting, c)
+}
+
+// observeSilence applies that a request sent at since is without a response. mu is held.
+func (p *pool) observeSilence(now, since time.Time) {
+	if now.Sub(since) >= p.silence && since.After(p.silentSince) {
+		p.silentSince = since
+	}
+}
+
 // put returns a connection to the pool after an exchange.
 func (p *pool) put(c *conn, now time.Time) {
 	c.idleSince = now
@@ -91,6 +133,10 @@
 func (p *pool) abort(c *conn) {
 	p.mu.Lock()
 	delete(p.open, c)
+	if since, ok := p.waiting[c]; ok {
+		p.observeSilence(time.Now(), since)
+		delete(p.waiting, c)
+	}
 	p.mu.Unlock()
 	tcp.Abort(c.Conn)
 }
--- a/io/sidecar/client.go
+++ b/io/sidecar/client.go
@@ -23,6 +23,8 @@
 	// maxPeers is the maximum number of sidecars for which the client keeps connections.
 	maxPeers      = 1024
 	cancelTimeout = 2 * time.Second
+	// silenceTimeout is longer than most sidecars need for the header of a response.
+	silenceTimeout = time.Second
 	// MaxExportSize is the maximum size of exported KV cache, in bytes.
 	MaxExportSize = 64 << 20
 	// lineBuffer is the initial size of the buffer for a frame, in bytes. The buffer grows up to MaxFrameSize.
@@ -233,7 +235,7 @@
 	if p, ok := c.peers.Get(addr); ok {
 		return p
 	}
-	p := http1.New(addr, max(c.maxBody, MaxExportSize)+MaxAttemptSize, http1.Secured(c.secure))
+	p := http1.New(addr, max(c.maxBody, MaxExportSize)+MaxAttemptSize, http1.Secured(c.secure), http1.SilenceTimeout(silenceTimeout))
 	c.peers.Add(addr, p)
 	return p
 }
