--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -56,7 +56,7 @@
 		if c == nil {
 			return p.dial(ctx)
 		}
-		if c.usable(now) && p.await(c, now) {
+		if c.usable(now) && p.begin(c, now) {
 			c.sent = 0
 			return c, nil
 		}
@@ -64,8 +64,8 @@
 	}
 }
 
-// await records that a request is sent on a connection now. It returns false if the connection may have gone silent.
-func (p *pool) await(c *conn, now time.Time) bool {
+// begin records that a request is sent on a connection now. It returns false if the connection may have gone silent.
+func (p *pool) begin(c *conn, now time.Time) bool {
 	if p.silence == 0 {
 		return true
 	}
