Carry field values of any bytes between entries and sidecars

Cause: attempts and results are JSON, which replaces bytes that are not UTF-8, so that a service or a caller got another field value than was sent (HTTP allows these bytes).

Before: TestFieldValuesOfAnyBytesReachTheOtherSide fails. After: it passes.

--- a/io/sidecar/wire_test.go
+++ b/io/sidecar/wire_test.go
@@ -53,6 +53,30 @@
 	})
 }
 
+// TestFieldValuesOfAnyBytesReachTheOtherSide guards against fields of a call or its response whose bytes JSON replaces.
+func TestFieldValuesOfAnyBytesReachTheOtherSide(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		headers := []waxwingpick.Header{{
+			Name:  "X-Own",
+			Value: string(rapid.SliceOf(rapid.Byte()).Draw(t, "value")),
+		}}
+		encoded, err := fast.Marshal(sidecar.Attempt{
+			Headers: headers,
+		})
+		require.NoError(t, err)
+		var a sidecar.Attempt
+		require.NoError(t, fast.Unmarshal(encoded, &a))
+		require.Equal(t, headers, a.Headers)
+		encoded, err = fast.Marshal(sidecar.Result{
+			Headers: headers,
+		})
+		require.NoError(t, err)
+		var r sidecar.Result
+		require.NoError(t, fast.Unmarshal(encoded, &r))
+		require.Equal(t, headers, r.Headers)
+	})
+}
+
 func requireSameEncoding[T any](t *rapid.T, value *T) {
 	standardJSON, err := json.Marshal(value)
 	if err != nil {
--- a/service.go
+++ b/service.go
@@ -10,12 +10,6 @@
 	Body    []byte
 }
 
-// Header is one HTTP header field.
-type Header struct {
-	Name  string `json:"name"`
-	Value string `json:"value"`
-}
-
 // CallResponse is the complete response of a plain service.
 type CallResponse struct {
 	Status  int
