gateway tests: allow orders of the killed holder's test to begin in two windows

Traced: windows have 2 s, two orders began in one and eight in the next, whose report was not due when the test compared the sum.

The test waits for the exact sum, which is as strict: accepted reports are only added, and two different ones of a window still fail.

--- a/internal/daemon/usage_test.go
+++ b/internal/daemon/usage_test.go
@@ -206,5 +206,6 @@
 			return r.Window == first.Window && r.Holder != first.Holder && r.Accepted
 		})
 	}, awaitTimeout, pollEvery, "the window was not reported again")
-	require.Equal(t, want, f.accepted())
+	// The orders may have begun in two windows.
+	require.Eventually(t, func() bool { return maps.Equal(want, f.accepted()) }, awaitTimeout, pollEvery)
 }
