--- a/core/targetlist/list.go
+++ b/core/targetlist/list.go
@@ -232,10 +232,6 @@
 		}
 		l.record(EventHeld, t, 0)
 	}
-	if known, ok := l.rows[t.ID]; ok {
-		known.missingSince = time.Time{}
-		l.rows[t.ID] = known
-	}
 }
 
 // Remove records that the entry of a target is missing.
--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -167,8 +167,6 @@
 		fresh:  r.Fresh || c.singleUse,
 		memory: r.Memory,
 	}
-	// A default would count as a field of the peer.
-	a.resp.Header.SetNoDefaultContentType(true)
 	c.fill(a.req, r)
 	if err := c.exchange(a, r); err != nil {
 		a.Close()
--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -75,6 +75,8 @@
 
 // receive reads the header of a response, and its body unless that is streamed.
 func (c *conn) receive(resp *fasthttp.Response, maxBody int) error {
+	// A default would count as a field of the peer.
+	resp.Header.SetNoDefaultContentType(true)
 	if err := c.skipInterim(); err != nil {
 		return err
 	}
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -123,22 +123,25 @@
 
 // drop closes a connection.
 func (p *pool) drop(c *conn) {
-	p.mu.Lock()
-	delete(p.open, c)
-	p.mu.Unlock()
+	p.remove(c)
 	c.Close()
 }
 
 // abort closes a connection whose exchange was given up.
 func (p *pool) abort(c *conn) {
+	p.remove(c)
+	tcp.Abort(c.Conn)
+}
+
+// remove removes a connection that is closed next.
+func (p *pool) remove(c *conn) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	delete(p.open, c)
 	if since, ok := p.waiting[c]; ok {
 		p.observeSilence(time.Now(), since)
 		delete(p.waiting, c)
 	}
-	p.mu.Unlock()
-	tcp.Abort(c.Conn)
 }
 
 // closeIdle closes the connections that are not in use.
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -182,7 +182,6 @@
 	}
 	stream, skipBody := a.resp.StreamBody, a.resp.SkipBody
 	a.resp.Reset()
-	a.resp.Header.SetNoDefaultContentType(true)
 	a.resp.StreamBody, a.resp.SkipBody = stream, skipBody
 	return nil
 }
