--- a/internal/daemon/unchanged_test.go
+++ b/internal/daemon/unchanged_test.go
@@ -1,10 +1,7 @@
 package daemon
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"slices"
 	"strings"
@@ -12,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"waxwingpick"
 	"waxwingpick/internal/loopback"
 	"waxwingpick/internal/rawhttp"
 	"waxwingpick/internal/standin/target"
@@ -60,15 +58,7 @@
 		setFaults(target.Faults{
 			Raw: want.Encode(id + "Waxwingpick-Server-Stamp: s\r\nConnection: close\r\n"),
 		}, s.services...)
-		c, err := net.Dial("tcp", s.boot.Callers)
-		require.NoError(t, err)
-		defer c.Close()
-		_, err = io.WriteString(c, "POST /order/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\n"+id+"\r\n")
-		require.NoError(t, err)
-		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
-		require.NoError(t, err)
-		defer resp.Body.Close()
-		body, err := io.ReadAll(resp.Body)
+		resp, body, err := loopback.Exchange(s.boot.Callers, "POST /order/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\n"+id+"\r\n", false)
 		require.NoError(t, err)
 		require.Equal(t, want.Status, resp.StatusCode)
 		require.Equal(t, want.Body, string(body))
@@ -83,7 +73,7 @@
 }
 
 // valuesOf returns the values of fields by their names.
-func valuesOf(fields []rawhttp.Field) map[string]string {
+func valuesOf(fields []waxwingpick.Header) map[string]string {
 	values := make(map[string]string)
 	for _, f := range fields {
 		values[f.Name] = f.Value
--- a/internal/loopback/late.go
+++ b/internal/loopback/late.go
@@ -20,13 +20,22 @@
 // SendThenRead sends a request completely before it reads the response, whose status it returns after it has read the body. It
 // fails if the connection breaks before. A slow client pauses between parts of the request.
 func SendThenRead(addr, raw string, slow bool) (status int, err error) {
+	resp, _, err := Exchange(addr, raw, slow)
+	if err != nil {
+		return 0, err
+	}
+	return resp.StatusCode, nil
+}
+
+// Exchange does what SendThenRead does, and returns the response with its body, which is closed.
+func Exchange(addr, raw string, slow bool) (*http.Response, []byte, error) {
 	c, err := net.Dial("tcp", addr)
 	if err != nil {
-		return 0, fmt.Errorf("connect: %w", err)
+		return nil, nil, fmt.Errorf("connect: %w", err)
 	}
 	defer c.Close()
 	if err := c.SetDeadline(time.Now().Add(exchangeTimeout)); err != nil {
-		return 0, fmt.Errorf("set deadline: %w", err)
+		return nil, nil, fmt.Errorf("set deadline: %w", err)
 	}
 	part := len(raw)
 	if slow {
@@ -35,7 +44,7 @@
 	for rest := raw; len(rest) > 0; {
 		n := min(part, len(rest))
 		if _, err := io.WriteString(c, rest[:n]); err != nil {
-			return 0, fmt.Errorf("send request: %w", err)
+			return nil, nil, fmt.Errorf("send request: %w", err)
 		}
 		rest = rest[n:]
 		if slow {
@@ -46,15 +55,16 @@
 	for {
 		resp, err := http.ReadResponse(r, nil)
 		if err != nil {
-			return 0, fmt.Errorf("read response: %w", err)
+			return nil, nil, fmt.Errorf("read response: %w", err)
 		}
 		if resp.StatusCode == http.StatusContinue {
 			continue
 		}
 		defer resp.Body.Close()
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
-			return 0, fmt.Errorf("read body: %w", err)
+		body, err := io.ReadAll(resp.Body)
+		if err != nil {
+			return nil, nil, fmt.Errorf("read body: %w", err)
 		}
-		return resp.StatusCode, nil
+		return resp, body, nil
 	}
 }
--- a/internal/rawhttp/message.go
+++ b/internal/rawhttp/message.go
@@ -7,22 +7,18 @@
 	"strings"
 
 	"pgregory.net/rapid"
+
+	"waxwingpick"
 )
 
 // maxDrawnBytes bounds the arbitrary bodies of drawn messages, in bytes.
 const maxDrawnBytes = 300
 
-// Field is a field of a header.
-type Field struct {
-	Name  string
-	Value string
-}
-
 // Message is an HTTP/1.1 message whose media type, encoding and framing a server or a client might interpret, whether or not its
 // body corresponds to them.
 type Message struct {
 	// Fields are the end-to-end fields of the header.
-	Fields []Field
+	Fields []waxwingpick.Header
 	Body   string
 	// framing is the rest of the header, and content the body in that framing.
 	framing string
@@ -110,7 +106,7 @@
 		"--x\r\nContent-Disposition: form-data; name=\"a\"\r\nContent-Type: application/json\r\n\r\n{}\r\n--x--\r\n"
 	arbitrary := string(rapid.SliceOfN(rapid.Byte(), 0, maxDrawnBytes).Draw(t, "bytes"))
 	m := Message{
-		Body: rapid.SampledFrom([]string{form, "b=1&a=%2f+%20&b=2&", gzipped(form), arbitrary}).Draw(t, "body"),
+		Body: rapid.SampledFrom([]string{form, "b=1&a=%2f+%20&b=2&", Gzip(form), arbitrary}).Draw(t, "body"),
 	}
 	m.addDrawn(t, "Content-Type", "", "multipart/form-data; boundary=x", "Multipart/Form-Data;boundary=\"x\"", "multipart/mixed; boundary=x",
 		"application/x-www-form-urlencoded", "text/event-stream", "application/json")
@@ -145,14 +141,15 @@
 // addDrawn adds a field with one of the values, unless that is empty.
 func (m *Message) addDrawn(t *rapid.T, name string, values ...string) {
 	if value := rapid.SampledFrom(values).Draw(t, name); value != "" {
-		m.Fields = append(m.Fields, Field{
+		m.Fields = append(m.Fields, waxwingpick.Header{
 			Name:  name,
 			Value: value,
 		})
 	}
 }
 
-func gzipped(s string) string {
+// Gzip returns a compressed text.
+func Gzip(s string) string {
 	var b bytes.Buffer
 	w := gzip.NewWriter(&b)
 	// A buffer accepts every write.
--- a/io/etcd/heldup_test.go
+++ b/io/etcd/heldup_test.go
@@ -1,8 +1,8 @@
 package etcd_test
 
 import (
+	"io"
 	"net/http"
-	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -16,28 +16,14 @@
 func TestGivenUpCallIsNotDelivered(t *testing.T) {
 	t.Parallel()
 	const timeout = 200 * time.Millisecond
-	arrived := make(chan string, 8)
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		arrived <- r.RequestURI
-		_, _ = w.Write([]byte("{}"))
-	}))
-	t.Cleanup(server.Close)
-	relay, err := loopback.NewRelay(server.Listener.Addr().String())
+	h, err := loopback.NewHeldUp(false, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "{}") })
 	require.NoError(t, err)
-	t.Cleanup(relay.Close)
-	c, err := adapter.New(relay.Addr(), adapter.WithTimeout(timeout))
+	t.Cleanup(h.Close)
+	c, err := adapter.New(h.Addr(), adapter.WithTimeout(timeout))
 	require.NoError(t, err)
 	t.Cleanup(c.Close)
-	require.NoError(t, c.Revoke(t.Context(), 1))
-	<-arrived
-	relay.Cut(loopback.Forward)
-	require.Error(t, c.Revoke(t.Context(), 1))
-	// The relay learns of a reset asynchronously.
-	time.Sleep(timeout)
-	relay.Heal()
-	select {
-	case uri := <-arrived:
-		require.Fail(t, "given up", uri)
-	case <-time.After(timeout):
-	}
+	revoke := func() error { return c.Revoke(t.Context(), 1) }
+	arrived, err := h.Arrivals(revoke, revoke, timeout)
+	require.NoError(t, err)
+	require.Len(t, arrived, 1)
 }
--- a/io/openai/encoded_test.go
+++ b/io/openai/encoded_test.go
@@ -1,8 +1,6 @@
 package openai_test
 
 import (
-	"bytes"
-	"compress/gzip"
 	"io"
 	"net/http"
 	"strings"
@@ -10,23 +8,20 @@
 
 	"github.com/stretchr/testify/require"
 
+	"waxwingpick/internal/rawhttp"
 	"waxwingpick/io/openai"
 )
 
 // TestEncodedModelRequestIsRefused guards against model requests whose decoded size exceeds the limit of a body by any factor.
 func TestEncodedModelRequestIsRefused(t *testing.T) {
-	var body bytes.Buffer
-	w := gzip.NewWriter(&body)
-	_, err := w.Write([]byte(strings.Replace(requestBody("false"), "hi", strings.Repeat("a", 100*maxBody), 1)))
-	require.NoError(t, err)
-	require.NoError(t, w.Close())
-	require.Less(t, body.Len(), maxBody)
+	body := rawhttp.Gzip(strings.Replace(requestBody("false"), "hi", strings.Repeat("a", 100*maxBody), 1))
+	require.Less(t, len(body), maxBody)
 	b := &backend{
 		end: io.EOF,
 	}
 	url := start(t, b)
 	for _, path := range []string{openai.ChatPath, openai.CompletionsPath} {
-		resp, _ := post(t, url+path, body.String(), "Content-Encoding", "gzip")
+		resp, _ := post(t, url+path, body, "Content-Encoding", "gzip")
 		require.Equal(t, http.StatusUnsupportedMediaType, resp.StatusCode)
 		require.Equal(t, "identity", resp.Header.Get("Accept-Encoding"))
 		resp, _ = post(t, url+path, "{", "Content-Encoding", "Identity")
