http1: refuse responses whose field names are no tokens

Callers got responses of a target in trouble whose header held a field name with a blank or a control byte. The line was passed on (X B: v), believed (X-A : v, Waxwingpick-Not-Run : 1, Content-Length : 4), joined to the field before it (a line that begins with a blank or a tab: the stamp became "stamp X-A: v"), or passed over (Content Length: 4), so that the body was another one than the target's. Shown besides: a line feed before a name ends the header there if CRLFCRLF follows anywhere in the body, and the rest of the header is the body.

Cause: internal/http1, the client of all adapters but io/etcd, left the header to fasthttp's parser, which accepts more than RFC 9112 allows.

Change: receive checks the raw lines of each header, interim responses included, as they arrive and before fasthttp sees them. A line has to begin with a token and a colon, and the header has to end with CRLFCRLF. A malformed one is no response: ErrEngineLost, none of its fields is read, and the connection is aborted. Lines that end with a bare LF are still accepted, as are all headers of TestSoundHeaderIsAResponse. The check of the status moves to the raw status line, and the byte counts that it needed are gone.

It is a check by the grammar and not of bad shapes, in the one place through which each response of a target, engine, service, sidecar, the platform's store and its API comes.

--- a/internal/http1/conn.go
+++ b/internal/http1/conn.go
@@ -5,16 +5,12 @@
 	"bytes"
 	"crypto/tls"
 	"errors"
-	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"os"
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
 
 	"waxwingpick/io/tcp"
@@ -26,19 +22,6 @@
 	readBufferBytes  = 4 << 10
 	maxHeaderBytes   = 16 << 10
 	writeBufferBytes = 4 << 10
-	// maxInterimResponses bounds the interim responses (1xx) before a response.
-	maxInterimResponses = 100
-	// minStatus is the lowest status of a response, in statusDigits digits.
-	minStatus    = 100
-	statusDigits = 3
-	// minStatusLine and maxStatusLine bound the bytes up to the end of a status.
-	minStatusLine = len("HTTP/1.1 200")
-	maxStatusLine = 64
-)
-
-var (
-	errStatus  = eris.New("invalid response status")
-	errInterim = eris.New("too many interim responses")
 )
 
 // past is a deadline that makes every read and write fail immediately.
@@ -55,8 +38,6 @@
 type conn struct {
 	net.Conn
 	br *bufio.Reader
-	// received is the number of bytes read from the peer.
-	received int64
 	// sent is the number of bytes of the current request that were written.
 	sent int
 	// idleSince is when the previous exchange ended.
@@ -73,82 +54,6 @@
 	return c
 }
 
-// receive reads the header of a response, and its body unless that is streamed.
-func (c *conn) receive(resp *fasthttp.Response, maxBody int) error {
-	// A default would count as a field of the peer.
-	resp.Header.SetNoDefaultContentType(true)
-	if err := c.skipInterim(); err != nil {
-		return err
-	}
-	consumed := c.consumed()
-	err := resp.ReadLimitBody(c.br, maxBody)
-	var small *fasthttp.ErrSmallBuffer
-	if !errors.As(err, &small) || c.consumed() != consumed {
-		return err
-	}
-	c.grow()
-	return resp.ReadLimitBody(c.br, maxBody)
-}
-
-// skipInterim reads interim responses, and fails with errStatus if the final one has a status below 100. fasthttp takes a status
-// of zero for one that was not set, and reports success.
-func (c *conn) skipInterim() error {
-	for range maxInterimResponses {
-		status, ok := c.peekStatus()
-		switch {
-		case !ok:
-			return nil
-		case status < minStatus:
-			return fmt.Errorf("%w: %03d", errStatus, status)
-		case status >= http.StatusOK || status == http.StatusSwitchingProtocols:
-			return nil
-		}
-		var interim fasthttp.ResponseHeader
-		if err := interim.Read(c.br); err != nil {
-			return fmt.Errorf("read interim response: %w", err)
-		}
-	}
-	return errInterim
-}
-
-// peekStatus returns the status of the response that follows, without its status line being read; false if it has none. Empty
-// lines before it are skipped.
-func (c *conn) peekStatus() (status int, ok bool) {
-	for skipped := 0; ; skipped++ {
-		first, err := c.br.Peek(1)
-		if err != nil {
-			return 0, false
-		}
-		if first[0] != '\r' && first[0] != '\n' {
-			break
-		}
-		if skipped == maxStatusLine {
-			return 0, true
-		}
-		// Peek has buffered the byte.
-		_, _ = c.br.Discard(1)
-	}
-	for n := minStatusLine; n <= maxStatusLine; n++ {
-		line, err := c.br.Peek(n)
-		if err != nil {
-			return 0, false
-		}
-		_, rest, found := bytes.Cut(line, []byte(" "))
-		code := bytes.TrimLeft(rest, " ")
-		if !found || len(code) < statusDigits {
-			continue
-		}
-		status, err := strconv.ParseUint(string(code[:statusDigits]), 10, 16)
-		return int(status), err == nil
-	}
-	return 0, false
-}
-
-// consumed returns the number of received bytes that were read from the buffer.
-func (c *conn) consumed() int64 {
-	return c.received - int64(c.br.Buffered())
-}
-
 // grow replaces the buffer by one for the largest header. The new buffer begins with the contents of the former one and
 // reads from the connection directly, so that Buffered still reveals unsolicited bytes.
 func (c *conn) grow() {
@@ -169,13 +74,6 @@
 	return err
 }
 
-// Read counts the received bytes.
-func (c *conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.received += int64(n)
-	return n, err
-}
-
 // Write counts the sent bytes.
 func (c *conn) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
--- /dev/null
+++ b/internal/http1/malformed_test.go
@@ -0,0 +1,162 @@
+package http1_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"waxwingpick"
+	"waxwingpick/internal/http1"
+	"waxwingpick/internal/rawhttp"
+)
+
+// rawPeer is a server that writes raw bytes in response to each request, and a client of it.
+type rawPeer struct {
+	*http1.Client
+	response atomic.Pointer[string]
+}
+
+// maxPieces bounds the parts in which a response is written.
+const maxPieces = 100
+
+// newRawPeer starts a server that writes in parts of piece bytes, or larger ones in place of more than maxPieces, with a pause
+// between them; zero for one part.
+func newRawPeer(t *testing.T, piece int) *rawPeer {
+	p := &rawPeer{}
+	s := listen(t, func(w io.Writer, _ int64, _ *http.Request) bool {
+		rest := *p.response.Load()
+		part := max(piece, len(rest)/maxPieces)
+		for piece > 0 && len(rest) > part {
+			if _, err := io.WriteString(w, rest[:part]); err != nil {
+				return false
+			}
+			rest = rest[part:]
+			time.Sleep(10 * time.Microsecond)
+		}
+		_, _ = io.WriteString(w, rest)
+		return false
+	})
+	p.Client = http1.New(s.addr, 100)
+	t.Cleanup(p.Close)
+	return p
+}
+
+// receive sends a request and returns the status and the body of the response.
+func (p *rawPeer) receive(t *testing.T, response string, stream bool) (int, string, error) {
+	t.Helper()
+	p.response.Store(&response)
+	a, err := p.Send(t.Context(), http1.Request{
+		Method:  http.MethodPost,
+		URI:     "/x",
+		Timeout: requestTimeout,
+		Stream:  stream,
+		Fresh:   true,
+	})
+	if err != nil {
+		return 0, "", err
+	}
+	defer a.Close()
+	body, err := a.Body(100)
+	return a.Status(), string(body), err
+}
+
+// requireLost requires that a response is none, whole or streamed.
+func (p *rawPeer) requireLost(t *testing.T, response string) {
+	t.Helper()
+	for _, stream := range []bool{false, true} {
+		status, body, err := p.receive(t, response, stream)
+		require.ErrorIs(t, err, waxwingpick.ErrEngineLost, "stream %t, status %d, body %q: %.200q", stream, status, body, response)
+	}
+}
+
+func (p *rawPeer) requireSound(t *testing.T, response string, status int) {
+	t.Helper()
+	for _, stream := range []bool{false, true} {
+		got, body, err := p.receive(t, response, stream)
+		require.NoError(t, err, "stream %t: %.200q", stream, response)
+		require.Equal(t, status, got)
+		require.Equal(t, "mine", body)
+	}
+}
+
+// TestFieldNameWithABlankOrControlByteIsNoResponse sends names that are no tokens in each line of a header.
+func TestFieldNameWithABlankOrControlByteIsNoResponse(t *testing.T) {
+	t.Parallel()
+	const other, length = "X-Other: v\r\n", "Content-Length: 4\r\n"
+	for _, status := range []int{200, 503} {
+		for name, format := range map[string]string{
+			"first line":  "%s: v\r\n" + other + length,
+			"middle line": other + "%s: v\r\n" + length,
+			"last line":   other + length + "%s: v\r\n",
+		} {
+			t.Run(fmt.Sprint(status, " ", name), func(t *testing.T) {
+				t.Parallel()
+				p := newRawPeer(t, 0)
+				line := fmt.Sprintf("HTTP/1.1 %d X\r\n", status)
+				for _, field := range append(rawhttp.MalformedNames("X-Name"), "X(Name", "X\"Name", "X\x80Name", "X\xffName", "") {
+					p.requireLost(t, line+fmt.Sprintf(format, field)+"\r\nmine")
+				}
+				p.requireSound(t, line+fmt.Sprintf(format, "!#$%&'*+-.^_`|~09azAZ")+"\r\nmine", status)
+			})
+		}
+	}
+	for field, value := range map[string]string{"Content-Length": "4", "Transfer-Encoding": "chunked", "Connection": "close"} {
+		t.Run(field, func(t *testing.T) {
+			t.Parallel()
+			p := newRawPeer(t, 0)
+			for _, bad := range rawhttp.MalformedNames(field) {
+				line := "HTTP/1.1 200 X\r\n" + bad + ": " + value + "\r\n"
+				for _, body := range []string{"mine", "4\r\nmine\r\n0\r\n\r\n"} {
+					p.requireLost(t, line+"\r\n"+body)
+					p.requireLost(t, line+other+"\r\n"+body)
+				}
+			}
+		})
+	}
+}
+
+// TestMalformedHeaderIsNoResponse sends malformed headers in one part and in parts of each size, as they may arrive.
+func TestMalformedHeaderIsNoResponse(t *testing.T) {
+	t.Parallel()
+	for _, piece := range []int{0, 1, 7, 1000} {
+		t.Run(strconv.Itoa(piece), func(t *testing.T) {
+			t.Parallel()
+			p := newRawPeer(t, piece)
+			for name, response := range rawhttp.Malformed("200 OK", "X-Sound: v\r\n", "mine") {
+				t.Run(name, func(t *testing.T) { p.requireLost(t, response) })
+			}
+		})
+	}
+}
+
+// TestSoundHeaderIsAResponse guards against a check that refuses more than the grammar does.
+func TestSoundHeaderIsAResponse(t *testing.T) {
+	t.Parallel()
+	large := func(n int) string { return "X-Large: " + strings.Repeat("x", n) + "\r\n" }
+	const interim = "HTTP/1.1 103 Early Hints\r\nLink: </a>; rel=preload\r\n\r\n"
+	for _, piece := range []int{0, 1, 1000} {
+		t.Run(strconv.Itoa(piece), func(t *testing.T) {
+			t.Parallel()
+			p := newRawPeer(t, piece)
+			for _, fields := range []string{
+				"", "X-A: a b\tc\r\n", "X-A:v\r\n", "X-A:\r\n", "X-A: \t v \t\r\n", "X-A: v: w\r\n", "X-A: \xe9\xff\r\n", "X-A: v\nX-B: v\r\n",
+				"X-A:   \r\nX-A:v\r\n", "x_a.b: v\r\n", large(5 << 10), large(12 << 10), strings.Repeat("X-Line: v\r\n", 1000),
+			} {
+				for _, status := range []int{200, 503} {
+					line := fmt.Sprint(status, " X")
+					p.requireSound(t, rawhttp.Sound(line, fields, "mine"), status)
+					p.requireSound(t, interim+interim+rawhttp.Sound(line, fields, "mine"), status)
+					p.requireSound(t, rawhttp.Chunked(line, fields, "mine", ""), status)
+					p.requireSound(t, "HTTP/1.1 "+line+"\r\n"+fields+"\r\nmine", status)
+				}
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/http1/receive.go
@@ -0,0 +1,179 @@
+package http1
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/rotisserie/eris"
+	"github.com/valyala/fasthttp"
+	"golang.org/x/net/http/httpguts"
+)
+
+const (
+	// maxInterimResponses bounds the interim responses (1xx) before a response.
+	maxInterimResponses = 100
+	// maxEmptyBytes bounds the empty lines before a response, in bytes.
+	maxEmptyBytes = 64
+	// minStatus is the lowest status of a response, in statusDigits digits.
+	minStatus    = 100
+	statusDigits = 3
+)
+
+var (
+	errStatus    = eris.New("invalid response status")
+	errInterim   = eris.New("too many interim responses")
+	errFieldLine = eris.New("malformed field line")
+	errEnd       = eris.New("header does not end with CRLF")
+)
+
+// receive reads the header of a response, and its body unless that is streamed.
+func (c *conn) receive(resp *fasthttp.Response, maxBody int) error {
+	// A default would count as a field of the peer.
+	resp.Header.SetNoDefaultContentType(true)
+	for range maxInterimResponses {
+		if err := c.readHeader(&resp.Header); err != nil {
+			return err
+		}
+		if status := resp.StatusCode(); status >= http.StatusOK || status == http.StatusSwitchingProtocols {
+			return c.readBody(resp, maxBody)
+		}
+	}
+	return errInterim
+}
+
+// readBody reads the body of a response, or prepares its stream.
+func (c *conn) readBody(resp *fasthttp.Response, maxBody int) error {
+	switch status := resp.StatusCode(); {
+	case resp.SkipBody, status < http.StatusOK, status == http.StatusNoContent, status == http.StatusNotModified:
+		return nil
+	}
+	if err := resp.ReadBody(c.br, maxBody); err != nil {
+		return fmt.Errorf("read body: %w", err)
+	}
+	if resp.StreamBody || resp.Header.ContentLength() != chunkedLength {
+		return nil
+	}
+	if err := resp.Header.ReadTrailer(c.br); err != nil {
+		return fmt.Errorf("read trailers: %w", err)
+	}
+	return nil
+}
+
+// readHeader reads the header of a response or an interim response. The lines are checked before fasthttp parses them, as it accepts
+// malformed ones: it joins a line that begins with a blank to the one before, takes blanks at the end of a name for none and keeps those
+// inside, and ends the header at an empty line that only LF ends.
+func (c *conn) readHeader(h *fasthttp.ResponseHeader) error {
+	if err := c.skipEmptyLines(); err != nil {
+		return err
+	}
+	if err := c.checkLines(checkStatusLine); err != nil {
+		return err
+	}
+	if err := h.Read(c.br); err != nil {
+		return fmt.Errorf("read header: %w", err)
+	}
+	return nil
+}
+
+// skipEmptyLines reads the empty lines before a response.
+func (c *conn) skipEmptyLines() error {
+	for range maxEmptyBytes {
+		first, err := c.br.Peek(1)
+		if err != nil {
+			return fmt.Errorf("read header: %w", err)
+		}
+		if first[0] != '\r' && first[0] != '\n' {
+			return nil
+		}
+		// Peek has buffered the byte.
+		_, _ = c.br.Discard(1)
+	}
+	return fmt.Errorf("%w: only empty lines", errStatus)
+}
+
+// checkLines waits for the lines up to the next empty one, and checks each as soon as it has arrived. The lines stay buffered. first
+// checks the first line; nil if it is a field line too.
+func (c *conn) checkLines(first func(line []byte) error) error {
+	check := first
+	if check == nil {
+		check = checkFieldLine
+	}
+	for size := 0; ; {
+		raw, err := c.peekLine(size)
+		if err != nil {
+			return fmt.Errorf("read header: %w", err)
+		}
+		size += len(raw)
+		line := bytes.TrimSuffix(raw[:len(raw)-1], []byte("\r"))
+		if len(line) == 0 {
+			return c.checkEnd(size)
+		}
+		if err := check(line); err != nil {
+			return err
+		}
+		check = checkFieldLine
+	}
+}
+
+// checkEnd checks the end of lines of size bytes with the empty one. fasthttp requires CRLF there, and searches further for it, into the
+// body.
+func (c *conn) checkEnd(size int) error {
+	// The lines are buffered.
+	lines, _ := c.br.Peek(size)
+	if !bytes.HasSuffix(lines, []byte("\r\n\r\n")) && string(lines) != "\r\n" {
+		return errEnd
+	}
+	return nil
+}
+
+// peekLine waits for the line that begins after offset bytes and returns it with its end. Everything up to there stays buffered.
+func (c *conn) peekLine(offset int) ([]byte, error) {
+	for searched := offset; ; {
+		buffered, _ := c.br.Peek(c.br.Buffered())
+		if i := bytes.IndexByte(buffered[searched:], '\n'); i >= 0 {
+			return buffered[offset : searched+i+1], nil
+		}
+		searched = len(buffered)
+		if searched == c.br.Size() && searched < maxHeaderBytes {
+			c.grow()
+		}
+		_, err := c.br.Peek(searched + 1)
+		if errors.Is(err, io.EOF) && searched > 0 {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// checkStatusLine returns an error for a status below 100. fasthttp takes a status of zero for one that was not set, and reports success.
+func checkStatusLine(line []byte) error {
+	_, rest, _ := bytes.Cut(line, []byte(" "))
+	code := bytes.TrimLeft(rest, " ")
+	code = code[:min(len(code), statusDigits)]
+	status, err := strconv.ParseUint(string(code), 10, 16)
+	if err != nil || status < minStatus {
+		return fmt.Errorf("%w: %.64q", errStatus, line)
+	}
+	return nil
+}
+
+// checkFieldLine returns an error unless a line is a field of RFC 9112, whose name is a token that begins the line and is followed by a
+// colon. fasthttp checks the value.
+func checkFieldLine(line []byte) error {
+	colon := bytes.IndexByte(line, ':')
+	if colon < 1 {
+		return fmt.Errorf("%w: %.64q", errFieldLine, line)
+	}
+	for _, b := range line[:colon] {
+		if !httpguts.IsTokenRune(rune(b)) {
+			return fmt.Errorf("%w: %.64q", errFieldLine, line)
+		}
+	}
+	return nil
+}
