http1: refuse bodies whose trailers are malformed

A body in chunks was complete although a field name of its trailers held a blank (X T: v, X-T : v, a fold): fasthttp reads trailers by the same lenient parser as a header, for streamed bodies inside its own stream, where they can not be checked before.

Change: streamed bodies in chunks are read by net/http/httputil, which leaves the trailers unread, so that both kinds of bodies check the raw lines of their trailers as those of a header. A body with malformed ones is not complete. Sound trailers may now be as large as a header (16 KB) where the first buffer of 4 KB was the limit; nothing uses them.

--- a/internal/daemon/malformed_test.go
+++ b/internal/daemon/malformed_test.go
@@ -62,3 +62,37 @@
 		})
 	}
 }
+
+// TestMalformedTrailersCompleteNoResponse has targets send bodies in chunks whose trailers have malformed field names. A caller must get
+// no success, or a stream that does not look complete.
+func TestMalformedTrailersCompleteNoResponse(t *testing.T) {
+	t.Parallel()
+	const (
+		fields = "Waxwingpick-Request-Id: id\r\nWaxwingpick-Server-Stamp: stamp\r\n"
+		stream = "Content-Type: text/event-stream\r\n"
+		event  = "id: 1\ndata: piece 1\n\n"
+	)
+	s := startTestGateway(t)
+	answer := func(path, raw string) (status int, body string, complete bool) {
+		setFaults(target.Faults{
+			Raw: raw,
+		}, append(append([]*target.Target(nil), s.services...), s.engines[:2]...)...)
+		return s.read(s.send("id", path, "", "Waxwingpick-Token-Counts", "500,10"))
+	}
+	for what, raw := range rawhttp.MalformedTrailers("200 OK", fields, "mine") {
+		status, body, _ := answer("/order/1", raw)
+		require.Equal(t, http.StatusBadGateway, status, "%s: %s", what, body)
+	}
+	for what, raw := range rawhttp.MalformedTrailers("200 OK", fields+stream, event) {
+		_, body, complete := answer("/long/1", raw)
+		require.False(t, complete, what)
+		require.Equal(t, event, body, what)
+	}
+	status, body, complete := answer("/order/1", rawhttp.Chunked("200 OK", fields, "mine", "X-T: v\r\n"))
+	require.Equal(t, http.StatusOK, status)
+	require.True(t, complete)
+	require.Equal(t, "mine", body)
+	_, body, complete = answer("/long/1", rawhttp.Chunked("200 OK", fields+stream, event, "X-T: v\r\n"))
+	require.True(t, complete)
+	require.Equal(t, event, body)
+}
--- a/internal/http1/malformed_test.go
+++ b/internal/http1/malformed_test.go
@@ -160,3 +160,52 @@
 		})
 	}
 }
+
+// TestMalformedTrailersEndNoBody sends trailers whose field names are no tokens, and sound ones.
+func TestMalformedTrailersEndNoBody(t *testing.T) {
+	t.Parallel()
+	for _, piece := range []int{0, 1, 7, 1000} {
+		t.Run(strconv.Itoa(piece), func(t *testing.T) {
+			t.Parallel()
+			p := newRawPeer(t, piece)
+			for _, status := range []int{200, 503} {
+				line := fmt.Sprint(status, " X")
+				for name, response := range rawhttp.MalformedTrailers(line, "X-Sound: v\r\n", "mine") {
+					t.Run(name, func(t *testing.T) { p.requireLost(t, response) })
+				}
+				for _, trailers := range []string{"", "X-T: v\r\n", "X-T: a b\r\nX-T:\r\n", "X-T: v\nX-U: v\r\n", "X-T: " + strings.Repeat("x", 5<<10) + "\r\n"} {
+					p.requireSound(t, rawhttp.Chunked(line, "", "mine", trailers), status)
+				}
+			}
+		})
+	}
+}
+
+// TestBodyInChunksIsCompleteOnlyAfterItsTrailers closes the connection in order after every byte of a response.
+func TestBodyInChunksIsCompleteOnlyAfterItsTrailers(t *testing.T) {
+	t.Parallel()
+	p := newRawPeer(t, 0)
+	for _, trailers := range []string{"", "X-T: v\r\n"} {
+		response := rawhttp.Chunked("200 OK", "X-Sound: v\r\n", "mine", trailers)
+		for cut := 1; cut < len(response); cut++ {
+			p.requireLost(t, response[:cut])
+		}
+	}
+}
+
+// TestMalformedChunksEndNoBody guards against a reader of streamed chunks that accepts more than the one of whole bodies.
+func TestMalformedChunksEndNoBody(t *testing.T) {
+	t.Parallel()
+	p := newRawPeer(t, 0)
+	const head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	for _, chunks := range []string{
+		"4\nmine\r\n0\r\n\r\n", "+4\r\nmine\r\n0\r\n\r\n", "-4\r\nmine\r\n0\r\n\r\n", " 4\r\nmine\r\n0\r\n\r\n", "0x4\r\nmine\r\n0\r\n\r\n", "4 5\r\nmine\r\n0\r\n\r\n",
+		"4;a\nb\r\nmine\r\n0\r\n\r\n", "\r\nmine\r\n0\r\n\r\n", "g\r\nmine\r\n0\r\n\r\n", "10000000000000004\r\nmine\r\n0\r\n\r\n", "4\r\nmineX\r\n0\r\n\r\n", "4\r\nmine\n0\r\n\r\n",
+		"4\r\nmine\r0\r\n\r\n", "4\r\nmine\r\n0\n\r\n", "4\r\nmine\r\n0\r\n\n", "5\r\nmine\r\n0\r\n\r\n", "4\r\nmine\r\n\r\n\r\n", "ffffffffffffffff\r\nmine\r\n0\r\n\r\n",
+	} {
+		p.requireLost(t, head+chunks)
+	}
+	for _, chunks := range []string{"4\r\nmine\r\n0\r\n\r\n", "4;a=b;c\r\nmine\r\n0;d\r\n\r\n", "0004\r\nmine\r\n000\r\n\r\n", "1\r\nm\r\n3 \r\nine\r\n0\r\n\r\n"} {
+		p.requireSound(t, head+chunks, http.StatusOK)
+	}
+}
--- a/internal/http1/receive.go
+++ b/internal/http1/receive.go
@@ -51,14 +51,16 @@
 	case resp.SkipBody, status < http.StatusOK, status == http.StatusNoContent, status == http.StatusNotModified:
 		return nil
 	}
+	chunked := resp.Header.ContentLength() == chunkedLength
+	if chunked && resp.StreamBody {
+		resp.SetBodyStream(newChunkedBody(c, &resp.Header), chunkedLength)
+		return nil
+	}
 	if err := resp.ReadBody(c.br, maxBody); err != nil {
 		return fmt.Errorf("read body: %w", err)
 	}
-	if resp.StreamBody || resp.Header.ContentLength() != chunkedLength {
-		return nil
-	}
-	if err := resp.Header.ReadTrailer(c.br); err != nil {
-		return fmt.Errorf("read trailers: %w", err)
+	if chunked {
+		return c.readTrailers(&resp.Header)
 	}
 	return nil
 }
@@ -130,7 +132,8 @@
 	return nil
 }
 
-// peekLine waits for the line that begins after offset bytes and returns it with its end. Everything up to there stays buffered.
+// peekLine waits for the line that begins after offset bytes and returns it with its end. Everything up to there stays buffered. It never
+// fails with io.EOF, which would end a body.
 func (c *conn) peekLine(offset int) ([]byte, error) {
 	for searched := offset; ; {
 		buffered, _ := c.br.Peek(c.br.Buffered())
@@ -141,11 +144,10 @@
 		if searched == c.br.Size() && searched < maxHeaderBytes {
 			c.grow()
 		}
-		_, err := c.br.Peek(searched + 1)
-		if errors.Is(err, io.EOF) && searched > 0 {
-			err = io.ErrUnexpectedEOF
-		}
-		if err != nil {
+		switch _, err := c.br.Peek(searched + 1); {
+		case errors.Is(err, io.EOF):
+			return nil, io.ErrUnexpectedEOF
+		case err != nil:
 			return nil, err
 		}
 	}
--- a/internal/rawhttp/malformed.go
+++ b/internal/rawhttp/malformed.go
@@ -72,3 +72,15 @@
 	return fmt.Sprintf("HTTP/1.1 %s\r\n%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n%x\r\n%s\r\n0\r\n%s\r\n",
 		status, fields, half, body[:half], len(body)-half, body[half:], trailers)
 }
+
+// MalformedTrailers returns variants of a sound response in chunks whose trailers are malformed, by their line.
+func MalformedTrailers(status, fields, body string) map[string]string {
+	variants := make(map[string]string)
+	for _, trailers := range []string{
+		"X T: v\r\n", "X-T : v\r\n", " X-T: v\r\n", "X\x01T: v\r\n", ": v\r\n", "X-T\r\n", "X-A: v\r\n X-T: v\r\n", "X T: v\r\nX-A: v\r\n",
+		"X-A: v\r\nX-T : v\r\nX-B: v\r\n", "X-Large: " + strings.Repeat("x", largeField) + "\r\nX T: v\r\n",
+	} {
+		variants[fmt.Sprintf("trailers %.40q", trailers)] = Chunked(status, fields, body, trailers)
+	}
+	return variants
+}
