etcd: read responses by the client of the other adapters

io/etcd took responses with malformed field names and with the status 000 for successes: {"succeeded":true} in a body with the status 000 was a write that had taken effect, and {"succeeded":false} under a malformed header a conflict. A write whose outcome is unknown thus got a known one, and a watch reported keys.

Cause: io/etcd had two clients of its own, for calls and for watches, on fasthttp.HostClient, whose reading of a response no other code can check. They were the last ones beside internal/http1.

Change: both use internal/http1, as platform/ does for the platform's store, so that there is one reader of responses. It gains an option for TCP keep-alive, and requests that only their context ends, for watches. What io/etcd promised stays: each call is sent once, what was given up is not delivered, idle connections are closed after a loss, and 16 calls are under way at most.

TestCallsUnderWayAreBounded is new.

--- a/internal/http1/client.go
+++ b/internal/http1/client.go
@@ -78,6 +78,13 @@
 	}
 }
 
+// KeepAlive sets the TCP keep-alive of each new connection.
+func KeepAlive(cfg net.KeepAliveConfig) Option {
+	return func(c *Client) {
+		c.pool.keepAlive = cfg
+	}
+}
+
 // SilenceTimeout sets the time without a response after which a reused connection may have gone silent. The connections that were
 // last used before its request are not used again then, and the next request opens a new one.
 func SilenceTimeout(d time.Duration) Option {
@@ -131,6 +138,8 @@
 	Header  []Field
 	Body    []byte
 	Timeout time.Duration
+	// NoTimeout means that only the context ends the exchange. Timeout is ignored then.
+	NoTimeout bool
 	// Stream leaves the body unread, for Response.Stream.
 	Stream bool
 	// Fresh sends the request on a new connection, which no later request uses.
@@ -179,8 +188,11 @@
 }
 
 func (c *Client) exchange(a *Response, r Request) error {
-	deadline := deadline(a.ctx, r.Timeout)
-	if err := c.write(a, deadline); err != nil {
+	var end time.Time
+	if !r.NoTimeout {
+		end = deadline(a.ctx, r.Timeout)
+	}
+	if err := c.write(a, end); err != nil {
 		return err
 	}
 	a.resp.SkipBody = r.Method == fasthttp.MethodHead
@@ -208,7 +220,7 @@
 	return fmt.Errorf("%w: %s sent only responses to other requests", waxwingpick.ErrEngineLost, c.pool.addr)
 }
 
-// write sends the request. A connection that accepted no byte of it is replaced.
+// write sends the request. A connection that accepted no byte of it is replaced. A deadline of zero means none.
 func (c *Client) write(a *Response, deadline time.Time) error {
 	var err error
 	for range maxUnsentAttempts {
--- a/internal/http1/pool.go
+++ b/internal/http1/pool.go
@@ -35,6 +35,8 @@
 	// connections.
 	idleFor time.Duration
 	maxOpen int
+	// keepAlive is the TCP keep-alive of new connections; zero for the default of net.Dialer.
+	keepAlive net.KeepAliveConfig
 	// silence is the time without a response after which a reused connection may have gone silent; zero for no limit.
 	silence time.Duration
 
@@ -187,7 +189,8 @@
 		return nil, err
 	}
 	d := net.Dialer{
-		Timeout: dialTimeout,
+		Timeout:         dialTimeout,
+		KeepAliveConfig: p.keepAlive,
 	}
 	inner, err := d.DialContext(ctx, "tcp", p.addr)
 	if err != nil {
--- a/internal/http1/response.go
+++ b/internal/http1/response.go
@@ -230,14 +230,16 @@
 	}
 }
 
-// attach assigns a connection to the exchange and applies the deadline and the context to it.
+// attach assigns a connection to the exchange and applies the deadline and the context to it. A deadline of zero means none.
 func (a *Response) attach(c *conn, deadline time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.conn = c
 	// SetDeadline fails only on a connection that also fails the next write.
 	_ = c.SetDeadline(deadline)
-	tcp.LimitDelivery(c.Conn, time.Until(deadline))
+	if !deadline.IsZero() {
+		tcp.LimitDelivery(c.Conn, time.Until(deadline))
+	}
 	if a.ctx.Done() != nil && a.stopInterrupt == nil {
 		a.stopInterrupt = context.AfterFunc(a.ctx, a.Interrupt)
 	}
--- a/io/etcd/client.go
+++ b/io/etcd/client.go
@@ -2,18 +2,16 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/rotisserie/eris"
-	"github.com/valyala/fasthttp"
 
 	"waxwingpick"
-	"waxwingpick/core/background"
 	"waxwingpick/core/timer"
-	"waxwingpick/io/tcp"
+	"waxwingpick/internal/http1"
 )
 
 const (
@@ -21,11 +19,15 @@
 	defaultMaxResponse = 16 << 20
 	// minMaxResponse fits the largest value in base64, in bytes.
 	minMaxResponse = 2 << 20
-	maxConns       = 16
+	// maxCalls bounds the calls under way, and thereby the connections. Further calls wait.
+	maxCalls = 16
 	// maxIdle is shorter than the usual idle timeout of servers, so that calls rarely use a connection that the server
 	// has closed.
-	maxIdle     = 10 * time.Second
-	dialTimeout = time.Second
+	maxIdle = 10 * time.Second
+	// TCP keep-alive closes the connection to an unresponsive peer after keepAliveIdle and keepAliveCount intervals.
+	keepAliveIdle     = 5 * time.Second
+	keepAliveInterval = 2 * time.Second
+	keepAliveCount    = 3
 )
 
 var _ waxwingpick.KeyValue = (*Client)(nil)
@@ -36,8 +38,9 @@
 	timeout     time.Duration
 	maxResponse int
 	timers      waxwingpick.Timers
-	http        *fasthttp.HostClient
-	work        background.Group
+	http        *http1.Client
+	// calls holds an element for each call under way, except watches.
+	calls chan struct{}
 }
 
 // Option configures a Client.
@@ -89,112 +92,55 @@
 			return nil, fmt.Errorf("set up key-value client: %w", err)
 		}
 	}
-	c.http = &fasthttp.HostClient{
-		Addr:                      addr,
-		Dial:                      c.dial,
-		MaxConns:                  maxConns,
-		MaxIdleConnDuration:       maxIdle,
-		MaxConnWaitTimeout:        c.timeout,
-		MaxResponseBodySize:       c.maxResponse,
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                neverRetry,
-	}
+	c.calls = make(chan struct{}, maxCalls)
+	// After a restart of the service, all idle connections are dead. They are closed so that later calls do not fail on them.
+	c.http = http1.New(addr, c.maxResponse, http1.IdleTimeout(maxIdle), http1.CloseIdleOnLoss(), http1.KeepAlive(net.KeepAliveConfig{
+		Enable:   true,
+		Idle:     keepAliveIdle,
+		Interval: keepAliveInterval,
+		Count:    keepAliveCount,
+	}))
 	return c, nil
 }
 
-// Close waits for calls whose context has ended and closes idle connections.
+// Close closes every connection. Running calls fail.
 func (c *Client) Close() {
-	c.work.Close()
-	c.http.CloseIdleConnections()
-}
-
-func neverRetry(*fasthttp.Request, int, error) (resetTimeout, retry bool) {
-	return false, false
-}
-
-// dialError is an error that occurred before any byte was sent.
-type dialError struct {
-	err error
-}
-
-func (e *dialError) Error() string { return "connect: " + e.err.Error() }
-
-func (e *dialError) Unwrap() error { return e.err }
-
-// dial opens a connection that delivers nothing of a call whose time-out has ended.
-func (c *Client) dial(addr string) (net.Conn, error) {
-	conn, err := net.DialTimeout("tcp", addr, dialTimeout)
-	if err != nil {
-		return nil, &dialError{
-			err: err,
-		}
-	}
-	return tcp.AbortUnanswered(conn, c.timeout), nil
-}
-
-// notSent reports whether the error occurred before any byte was sent.
-func notSent(err error) bool {
-	var dialed *dialError
-	return errors.As(err, &dialed) || errors.Is(err, fasthttp.ErrNoFreeConns)
-}
-
-// response is the result of an exchange: a status and body, or an error.
-type response struct {
-	status int
-	body   []byte
-	err    error
+	c.http.Close()
 }
 
-// exchange sends one request and waits for its response until ctx ends or the client's timeout expires.
-func (c *Client) exchange(ctx context.Context, path string, body []byte) response {
-	deadline := time.Now().Add(c.timeout)
-	if d, ok := ctx.Deadline(); ok && d.Before(deadline) {
-		deadline = d
-	}
-	responses := make(chan response, 1)
-	started := c.work.Start(func() {
-		responses <- c.do(path, body, deadline)
-	})
-	if !started {
-		return response{
-			err: &dialError{
-				err: net.ErrClosed,
-			},
-		}
-	}
+// exchange sends one request and waits for its response until ctx ends or the client's timeout expires. It fails with
+// ErrEngineUnreachable if nothing was sent.
+func (c *Client) exchange(ctx context.Context, path string, body []byte) (status int, content []byte, err error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
 	select {
-	case res := <-responses:
-		return res
+	case c.calls <- struct{}{}:
 	case <-ctx.Done():
-		return response{
-			err: ctx.Err(),
-		}
+		return 0, nil, fmt.Errorf("%w: %d calls under way: %w", waxwingpick.ErrEngineUnreachable, maxCalls, ctx.Err())
 	}
-}
-
-func (c *Client) do(path string, body []byte, deadline time.Time) response {
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	res := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(res)
-	c.prepare(req, path, body)
-	if err := c.http.DoDeadline(req, res, deadline); err != nil {
-		// After a restart of the service, all pooled connections are dead. They are closed so that later calls do not
-		// fail on them.
-		c.http.CloseIdleConnections()
-		return response{
-			err: err,
-		}
+	defer func() { <-c.calls }()
+	req := request(path, body)
+	req.Timeout = c.timeout
+	resp, err := c.http.Send(ctx, req)
+	if err != nil {
+		return 0, nil, err
 	}
-	return response{
-		status: res.StatusCode(),
-		body:   append([]byte(nil), res.Body()...),
+	defer resp.Close()
+	content, err = resp.Body(c.maxResponse)
+	if err != nil {
+		return 0, nil, err
 	}
+	return resp.Status(), content, nil
 }
 
-func (c *Client) prepare(req *fasthttp.Request, path string, body []byte) {
-	req.Header.SetMethod(fasthttp.MethodPost)
-	req.Header.SetContentType("application/json")
-	req.SetRequestURI("http://" + c.addr + path)
-	req.SetBody(body)
+func request(path string, body []byte) http1.Request {
+	return http1.Request{
+		Method: http.MethodPost,
+		URI:    path,
+		Header: []http1.Field{{
+			Name:  "Content-Type",
+			Value: "application/json",
+		}},
+		Body: body,
+	}
 }
--- a/io/etcd/errors.go
+++ b/io/etcd/errors.go
@@ -2,9 +2,9 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
-
-	"github.com/valyala/fasthttp"
+	"net/http"
 
 	"waxwingpick"
 	"waxwingpick/internal/etcdwire"
@@ -48,7 +48,7 @@
 
 // exchangeError maps an exchange without a valid response to the errors of waxwingpick.KeyValue.
 func exchangeError(kind waxwingpick.KeyValueCall, err error) error {
-	if kind.Writes() && !notSent(err) {
+	if kind.Writes() && !errors.Is(err, waxwingpick.ErrEngineUnreachable) {
 		return fmt.Errorf("%s: %w: %w", kind, waxwingpick.ErrUnknownOutcome, err)
 	}
 	return fmt.Errorf("%s: %w: %w", kind, waxwingpick.ErrUnavailable, err)
@@ -72,7 +72,7 @@
 
 // rejectedBeforeProposal reports whether the service rejected the request before it proposed a write to its members.
 func rejectedBeforeProposal(e *StatusError) bool {
-	return e.status == fasthttp.StatusTooManyRequests ||
+	return e.status == http.StatusTooManyRequests ||
 		e.code == etcdwire.CodeResourceExhausted ||
 		e.message == etcdwire.MessageNoLeader
 }
--- a/io/etcd/fault_test.go
+++ b/io/etcd/fault_test.go
@@ -263,3 +263,30 @@
 	_ = callAll(t.Context(), proxy)
 	goldie.New(t).Assert(t, "exchanges", []byte(record))
 }
+
+// TestCallsUnderWayAreBounded has a service respond to nothing. Calls over the bound wait, and have a known outcome, as they were not
+// sent.
+func TestCallsUnderWayAreBounded(t *testing.T) {
+	const bound = 16
+	release := make(chan struct{})
+	var arrived atomic.Int64
+	client := serving(t, func(*fasthttp.RequestCtx) {
+		arrived.Add(1)
+		<-release
+	})
+	t.Cleanup(func() { close(release) })
+	errs := make(chan error, bound)
+	for range bound {
+		go func() {
+			errs <- client.Revoke(t.Context(), 1)
+		}()
+	}
+	require.Eventually(t, func() bool { return arrived.Load() == bound }, time.Second, time.Millisecond)
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	require.ErrorIs(t, client.Revoke(ctx, 1), waxwingpick.ErrUnavailable)
+	for range bound {
+		require.ErrorIs(t, <-errs, waxwingpick.ErrUnknownOutcome)
+	}
+	require.Equal(t, int64(bound), arrived.Load())
+}
--- a/io/etcd/keyvalue.go
+++ b/io/etcd/keyvalue.go
@@ -4,10 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"time"
 
-	"github.com/valyala/fasthttp"
-
 	"waxwingpick"
 	"waxwingpick/internal/etcdwire"
 )
@@ -22,14 +21,14 @@
 	if err != nil {
 		return res, fmt.Errorf("%s: encode request: %w", kind, err)
 	}
-	resp := c.exchange(ctx, path, body)
-	if resp.err != nil {
-		return res, exchangeError(kind, resp.err)
+	status, content, err := c.exchange(ctx, path, body)
+	if err != nil {
+		return res, exchangeError(kind, err)
 	}
-	if resp.status != fasthttp.StatusOK {
-		return res, responseError(kind, newStatusError(resp.status, resp.body))
+	if status != http.StatusOK {
+		return res, responseError(kind, newStatusError(status, content))
 	}
-	if err := json.Unmarshal(resp.body, &res); err != nil {
+	if err := json.Unmarshal(content, &res); err != nil {
 		return res, exchangeError(kind, fmt.Errorf("decode response: %w", err))
 	}
 	return res, nil
--- a/io/etcd/watch.go
+++ b/io/etcd/watch.go
@@ -5,25 +5,16 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
-	"sync"
-	"time"
+	"net/http"
 
 	"github.com/rotisserie/eris"
-	"github.com/valyala/fasthttp"
 
 	"waxwingpick"
 	"waxwingpick/internal/etcdwire"
 )
 
-const (
-	// maxMessageSize is the maximum size of one message of a watch stream, in bytes.
-	maxMessageSize = 8 << 20
-	// TCP keep-alive closes the connection to an unresponsive peer after keepAliveIdle and keepAliveCount intervals.
-	keepAliveIdle     = 5 * time.Second
-	keepAliveInterval = 2 * time.Second
-	keepAliveCount    = 3
-)
+// maxMessageSize is the maximum size of one message of a watch stream, in bytes.
+const maxMessageSize = 8 << 20
 
 var errWatchEnded = eris.New("watch ended by the service")
 
@@ -47,35 +38,18 @@
 	if err != nil {
 		return fmt.Errorf("encode request: %w", err)
 	}
-	conn := &watchConn{}
-	stop := context.AfterFunc(ctx, conn.close)
-	defer stop()
-	defer conn.close()
-	client := &fasthttp.HostClient{
-		Addr:                      c.addr,
-		Dial:                      conn.dial,
-		MaxConns:                  1,
-		StreamResponseBody:        true,
-		MaxIdemponentCallAttempts: 1,
-		RetryIfErr:                neverRetry,
-	}
-	req := fasthttp.AcquireRequest()
-	defer fasthttp.ReleaseRequest(req)
-	res := fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseResponse(res)
-	c.prepare(req, etcdwire.PathWatch, body)
-	if err := client.Do(req, res); err != nil {
+	req := request(etcdwire.PathWatch, body)
+	req.Stream, req.Fresh, req.NoTimeout = true, true, true
+	resp, err := c.http.Send(ctx, req)
+	if err != nil {
 		return err
 	}
-	defer func() {
-		conn.close()
-		_ = res.CloseBodyStream()
-	}()
-	if res.StatusCode() != fasthttp.StatusOK {
-		rest, _ := io.ReadAll(io.LimitReader(res.BodyStream(), maxErrorMessage))
-		return newStatusError(res.StatusCode(), rest)
+	defer resp.Close()
+	if resp.Status() != http.StatusOK {
+		rest, _ := io.ReadAll(io.LimitReader(resp.Stream(), maxErrorMessage))
+		return newStatusError(resp.Status(), rest)
 	}
-	return receive(res.BodyStream(), changed)
+	return receive(resp.Stream(), changed)
 }
 
 // receive reads the messages of a watch stream until it ends.
@@ -101,43 +75,3 @@
 		}
 	}
 }
-
-// watchConn is the connection of one watch. After close, dial fails.
-type watchConn struct {
-	mu     sync.Mutex
-	conn   net.Conn
-	closed bool
-}
-
-func (w *watchConn) dial(addr string) (net.Conn, error) {
-	d := net.Dialer{
-		Timeout: dialTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{
-			Enable:   true,
-			Idle:     keepAliveIdle,
-			Interval: keepAliveInterval,
-			Count:    keepAliveCount,
-		},
-	}
-	conn, err := d.Dial("tcp", addr)
-	if err != nil {
-		return nil, err
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.closed {
-		_ = conn.Close()
-		return nil, net.ErrClosed
-	}
-	w.conn = conn
-	return conn, nil
-}
-
-func (w *watchConn) close() {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.closed = true
-	if w.conn != nil {
-		_ = w.conn.Close()
-	}
-}
