http1: refuse status lines of other protocols and reasons with control bytes

A response whose status line was of HTTP/2.0, 0.9 or 3.1, or whose reason held a control byte, was taken as an answer. fasthttp checks the form of a version and not its number, and no reason. Blanks before the status, a status line without a reason and bytes from 0x80 in a reason are still accepted.

Evidence: seven of the sixteen lines of TestMalformedStatusLineIsNoResponse were accepted before; all are refused now, also after an interim response. Not seen in the incident; found while looking for what else the parser accepts.

--- a/internal/http1/malformed_test.go
+++ b/internal/http1/malformed_test.go
@@ -209,3 +209,20 @@
 		p.requireSound(t, head+chunks, http.StatusOK)
 	}
 }
+
+// TestMalformedStatusLineIsNoResponse sends status lines of other protocols, and reasons with control bytes.
+func TestMalformedStatusLineIsNoResponse(t *testing.T) {
+	t.Parallel()
+	p := newRawPeer(t, 0)
+	const rest = "\r\nContent-Length: 4\r\n\r\nmine"
+	for _, line := range []string{
+		"HTTP/2.0 200 OK", "HTTP/0.9 200 OK", "HTTP/3.1 503 Busy", "http/1.1 200 OK", "HTTP/1.1 200 O\x00K", "HTTP/1.1 200 \x01", "HTTP/1.1 200 OK\x7f", "HTTP/1.1 503 Bu\rsy",
+		"HTTP/1.1\t200 OK", "HTTP/1.1 200\x01", "HTTP/1.1 2000 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1200 OK", " HTTP/1.1 200 OK", "HTTP/1.1",
+	} {
+		p.requireLost(t, line+rest)
+		p.requireLost(t, "HTTP/1.1 100 Continue\r\n\r\n"+line+rest)
+	}
+	for _, line := range []string{"HTTP/1.1 200 OK", "HTTP/1.0 200 OK", "HTTP/1.1 200", "HTTP/1.1 200 ", "HTTP/1.1 200 a\tb", "HTTP/1.1 200 \xe9\xff"} {
+		p.requireSound(t, line+rest, http.StatusOK)
+	}
+}
--- a/internal/http1/receive.go
+++ b/internal/http1/receive.go
@@ -24,7 +24,7 @@
 )
 
 var (
-	errStatus    = eris.New("invalid response status")
+	errStatus    = eris.New("invalid status line")
 	errInterim   = eris.New("too many interim responses")
 	errFieldLine = eris.New("malformed field line")
 	errEnd       = eris.New("header does not end with CRLF")
@@ -153,18 +153,24 @@
 	}
 }
 
-// checkStatusLine returns an error for a status below 100. fasthttp takes a status of zero for one that was not set, and reports success.
+// checkStatusLine returns an error unless a line is a status line of HTTP/1 with a status of at least 100. fasthttp accepts any version and
+// reason, and takes a status of zero for one that was not set, which it reports as a success.
 func checkStatusLine(line []byte) error {
-	_, rest, _ := bytes.Cut(line, []byte(" "))
-	code := bytes.TrimLeft(rest, " ")
-	code = code[:min(len(code), statusDigits)]
-	status, err := strconv.ParseUint(string(code), 10, 16)
-	if err != nil || status < minStatus {
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	rest = bytes.TrimLeft(rest, " ")
+	digits := min(len(rest), statusDigits)
+	status, err := strconv.ParseUint(string(rest[:digits]), 10, 16)
+	if err != nil || status < minStatus || !bytes.HasPrefix(version, []byte("HTTP/1.")) || bytes.ContainsFunc(rest[digits:], isControl) {
 		return fmt.Errorf("%w: %.64q", errStatus, line)
 	}
 	return nil
 }
 
+// isControl reports whether a character may not occur in a reason.
+func isControl(r rune) bool {
+	return r < ' ' && r != '\t' || r == 0x7f
+}
+
 // checkFieldLine returns an error unless a line is a field of RFC 9112, whose name is a token that begins the line and is followed by a
 // colon. fasthttp checks the value.
 func checkFieldLine(line []byte) error {
