http1: refuse responses with a faulty framing

A response that stated a length and chunks was taken by its chunks, and one in chunks by HTTP/1.0, which has none, with the chunks' sizes as a part of its body, or cut at the length that it stated as well: a body that is not the target's. RFC 9112 calls both faulty and asks to handle them as an error, as one of two readers may end the body at another place.

fasthttp keeps no length beside chunks, so the raw lines are searched for it, for responses in chunks only, and for chunks in those that are not of HTTP/1.1.

--- a/internal/http1/chunks.go
+++ b/internal/http1/chunks.go
@@ -51,7 +51,7 @@
 
 // readTrailers reads the trailers of a body in chunks, which nothing uses. fasthttp parses them as it does a header.
 func (c *conn) readTrailers(h *fasthttp.ResponseHeader) error {
-	if err := c.checkLines(nil); err != nil {
+	if _, err := c.checkLines(nil); err != nil {
 		return fmt.Errorf("trailers: %w", err)
 	}
 	if err := h.ReadTrailer(c.br); err != nil {
--- a/internal/http1/malformed_test.go
+++ b/internal/http1/malformed_test.go
@@ -226,3 +226,25 @@
 		p.requireSound(t, line+rest, http.StatusOK)
 	}
 }
+
+// TestResponseWithTwoFramingsIsNoResponse states the end of a body in two ways, or in chunks by HTTP/1.0, which has none.
+func TestResponseWithTwoFramingsIsNoResponse(t *testing.T) {
+	t.Parallel()
+	p := newRawPeer(t, 0)
+	const (
+		chunked = "Transfer-Encoding: chunked\r\n"
+		length  = "Content-Length: 4\r\n"
+		chunks  = "4\r\nmine\r\n0\r\n\r\n"
+	)
+	for _, fields := range []string{chunked + length, length + chunked, "X-A: v\r\ncontent-length: 19\r\nX-B: v\r\ntransfer-encoding: Chunked\r\n", chunked + "Content-Length: 0\r\n"} {
+		for _, status := range []string{"200 OK", "503 Busy", "204 No Content", "304 Not Modified"} {
+			p.requireLost(t, "HTTP/1.1 "+status+"\r\n"+fields+"\r\n"+chunks)
+		}
+		p.requireLost(t, "HTTP/1.0 200 OK\r\n"+fields+"\r\n"+chunks)
+	}
+	p.requireLost(t, "HTTP/1.0 200 OK\r\n"+chunked+"\r\n"+chunks)
+	p.requireLost(t, "HTTP/1.1 200 OK\r\n"+length+length+"\r\nmine")
+	p.requireLost(t, "HTTP/1.1 200 OK\r\n"+chunked+chunked+"\r\n"+chunks)
+	p.requireSound(t, "HTTP/1.1 200 OK\r\nX-Content-Length: 9\r\nTrailer: X-T\r\n"+chunked+"\r\n"+chunks, http.StatusOK)
+	p.requireSound(t, "HTTP/1.0 200 OK\r\n"+length+"\r\nmine", http.StatusOK)
+}
--- a/internal/http1/receive.go
+++ b/internal/http1/receive.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
@@ -28,6 +29,7 @@
 	errInterim   = eris.New("too many interim responses")
 	errFieldLine = eris.New("malformed field line")
 	errEnd       = eris.New("header does not end with CRLF")
+	errFraming   = eris.New("faulty framing")
 )
 
 // receive reads the header of a response, and its body unless that is streamed.
@@ -72,13 +74,14 @@
 	if err := c.skipEmptyLines(); err != nil {
 		return err
 	}
-	if err := c.checkLines(checkStatusLine); err != nil {
+	lines, err := c.checkLines(checkStatusLine)
+	if err != nil {
 		return err
 	}
 	if err := h.Read(c.br); err != nil {
 		return fmt.Errorf("read header: %w", err)
 	}
-	return nil
+	return checkFraming(h, lines)
 }
 
 // skipEmptyLines reads the empty lines before a response.
@@ -97,9 +100,9 @@
 	return fmt.Errorf("%w: only empty lines", errStatus)
 }
 
-// checkLines waits for the lines up to the next empty one, and checks each as soon as it has arrived. The lines stay buffered. first
-// checks the first line; nil if it is a field line too.
-func (c *conn) checkLines(first func(line []byte) error) error {
+// checkLines waits for the lines up to the next empty one, and checks each as soon as it has arrived. first checks the first line; nil if
+// it is a field line too. The lines stay buffered, and are valid until more is read from the connection.
+func (c *conn) checkLines(first func(line []byte) error) ([]byte, error) {
 	check := first
 	if check == nil {
 		check = checkFieldLine
@@ -107,7 +110,7 @@
 	for size := 0; ; {
 		raw, err := c.peekLine(size)
 		if err != nil {
-			return fmt.Errorf("read header: %w", err)
+			return nil, fmt.Errorf("read header: %w", err)
 		}
 		size += len(raw)
 		line := bytes.TrimSuffix(raw[:len(raw)-1], []byte("\r"))
@@ -115,23 +118,46 @@
 			return c.checkEnd(size)
 		}
 		if err := check(line); err != nil {
-			return err
+			return nil, err
 		}
 		check = checkFieldLine
 	}
 }
 
-// checkEnd checks the end of lines of size bytes with the empty one. fasthttp requires CRLF there, and searches further for it, into the
-// body.
-func (c *conn) checkEnd(size int) error {
+// checkEnd returns lines of size bytes, the empty one included, if they end with CRLF. fasthttp requires that, and searches further for
+// it, into the body.
+func (c *conn) checkEnd(size int) ([]byte, error) {
 	// The lines are buffered.
 	lines, _ := c.br.Peek(size)
 	if !bytes.HasSuffix(lines, []byte("\r\n\r\n")) && string(lines) != "\r\n" {
-		return errEnd
+		return nil, errEnd
+	}
+	return lines, nil
+}
+
+// checkFraming returns an error for a response that states the end of its body in two ways, or in chunks by HTTP/1.0, which has none.
+// RFC 9112 calls either framing faulty.
+func checkFraming(h *fasthttp.ResponseHeader, lines []byte) error {
+	switch {
+	case h.ContentLength() == chunkedLength && hasField(lines, fasthttp.HeaderContentLength):
+		return fmt.Errorf("%w: length and chunks", errFraming)
+	case !h.IsHTTP11() && hasField(lines, fasthttp.HeaderTransferEncoding):
+		return fmt.Errorf("%w: chunks by HTTP/1.0", errFraming)
 	}
 	return nil
 }
 
+// hasField reports whether one of the lines is a field with the name.
+func hasField(lines []byte, name string) bool {
+	for line := range bytes.Lines(lines) {
+		field, _, _ := bytes.Cut(line, []byte(":"))
+		if strings.EqualFold(string(field), name) {
+			return true
+		}
+	}
+	return false
+}
+
 // peekLine waits for the line that begins after offset bytes and returns it with its end. Everything up to there stays buffered. It never
 // fails with io.EOF, which would end a body.
 func (c *conn) peekLine(offset int) ([]byte, error) {
