http1: keep the grammar of responses in a file of its own

receive.go waits for lines and reads bodies, grammar.go checks the lines. checkLines takes the check of its first line for trailers too, in place of nil. A test sends values with each control byte: fasthttp refuses them, as before.

--- a/internal/http1/chunks.go
+++ b/internal/http1/chunks.go
@@ -49,10 +49,10 @@
 	return 0, b.end
 }
 
-// readTrailers reads the trailers of a body in chunks, which nothing uses. fasthttp parses them as it does a header.
+// readTrailers reads the trailers of a body in chunks, which nothing uses. As for a header, fasthttp accepts malformed lines.
 func (c *conn) readTrailers(h *fasthttp.ResponseHeader) error {
-	if _, err := c.checkLines(nil); err != nil {
-		return fmt.Errorf("trailers: %w", err)
+	if _, err := c.checkLines(checkFieldLine); err != nil {
+		return fmt.Errorf("read trailers: %w", err)
 	}
 	if err := h.ReadTrailer(c.br); err != nil {
 		return fmt.Errorf("read trailers: %w", err)
--- a/internal/http1/malformed_test.go
+++ b/internal/http1/malformed_test.go
@@ -248,3 +248,17 @@
 	p.requireSound(t, "HTTP/1.1 200 OK\r\nX-Content-Length: 9\r\nTrailer: X-T\r\n"+chunked+"\r\n"+chunks, http.StatusOK)
 	p.requireSound(t, "HTTP/1.0 200 OK\r\n"+length+"\r\nmine", http.StatusOK)
 }
+
+// TestControlByteInAFieldValueIsNoResponse sends values with each control byte.
+func TestControlByteInAFieldValueIsNoResponse(t *testing.T) {
+	t.Parallel()
+	p := newRawPeer(t, 0)
+	for b := range 0x80 {
+		response := rawhttp.Sound("200 OK", "X-A: v"+string([]byte{byte(b)})+"w\r\n", "mine")
+		if b >= ' ' && b != 0x7f || b == '\t' {
+			p.requireSound(t, response, http.StatusOK)
+			continue
+		}
+		p.requireLost(t, response)
+	}
+}
--- a/internal/http1/receive.go
+++ b/internal/http1/receive.go
@@ -6,12 +6,9 @@
 	"fmt"
 	"io"
 	"net/http"
-	"strconv"
-	"strings"
 
 	"github.com/rotisserie/eris"
 	"github.com/valyala/fasthttp"
-	"golang.org/x/net/http/httpguts"
 )
 
 const (
@@ -19,17 +16,12 @@
 	maxInterimResponses = 100
 	// maxEmptyBytes bounds the empty lines before a response, in bytes.
 	maxEmptyBytes = 64
-	// minStatus is the lowest status of a response, in statusDigits digits.
-	minStatus    = 100
-	statusDigits = 3
 )
 
 var (
-	errStatus    = eris.New("invalid status line")
-	errInterim   = eris.New("too many interim responses")
-	errFieldLine = eris.New("malformed field line")
-	errEnd       = eris.New("header does not end with CRLF")
-	errFraming   = eris.New("faulty framing")
+	errInterim = eris.New("too many interim responses")
+	errEmpty   = eris.New("too many empty lines")
+	errEnd     = eris.New("header does not end with CRLF")
 )
 
 // receive reads the header of a response, and its body unless that is streamed.
@@ -47,26 +39,6 @@
 	return errInterim
 }
 
-// readBody reads the body of a response, or prepares its stream.
-func (c *conn) readBody(resp *fasthttp.Response, maxBody int) error {
-	switch status := resp.StatusCode(); {
-	case resp.SkipBody, status < http.StatusOK, status == http.StatusNoContent, status == http.StatusNotModified:
-		return nil
-	}
-	chunked := resp.Header.ContentLength() == chunkedLength
-	if chunked && resp.StreamBody {
-		resp.SetBodyStream(newChunkedBody(c, &resp.Header), chunkedLength)
-		return nil
-	}
-	if err := resp.ReadBody(c.br, maxBody); err != nil {
-		return fmt.Errorf("read body: %w", err)
-	}
-	if chunked {
-		return c.readTrailers(&resp.Header)
-	}
-	return nil
-}
-
 // readHeader reads the header of a response or an interim response. The lines are checked before fasthttp parses them, as it accepts
 // malformed ones: it joins a line that begins with a blank to the one before, takes blanks at the end of a name for none and keeps those
 // inside, and ends the header at an empty line that only LF ends.
@@ -76,7 +48,7 @@
 	}
 	lines, err := c.checkLines(checkStatusLine)
 	if err != nil {
-		return err
+		return fmt.Errorf("read header: %w", err)
 	}
 	if err := h.Read(c.br); err != nil {
 		return fmt.Errorf("read header: %w", err)
@@ -97,20 +69,17 @@
 		// Peek has buffered the byte.
 		_, _ = c.br.Discard(1)
 	}
-	return fmt.Errorf("%w: only empty lines", errStatus)
+	return errEmpty
 }
 
-// checkLines waits for the lines up to the next empty one, and checks each as soon as it has arrived. first checks the first line; nil if
-// it is a field line too. The lines stay buffered, and are valid until more is read from the connection.
-func (c *conn) checkLines(first func(line []byte) error) ([]byte, error) {
-	check := first
-	if check == nil {
-		check = checkFieldLine
-	}
+// checkLines waits for the lines up to the next empty one, and checks each as soon as it has arrived: the first one by a function, the
+// others as fields. The lines stay buffered, and are valid until more is read from the connection.
+func (c *conn) checkLines(checkFirst func(line []byte) error) ([]byte, error) {
+	check := checkFirst
 	for size := 0; ; {
 		raw, err := c.peekLine(size)
 		if err != nil {
-			return nil, fmt.Errorf("read header: %w", err)
+			return nil, err
 		}
 		size += len(raw)
 		line := bytes.TrimSuffix(raw[:len(raw)-1], []byte("\r"))
@@ -135,29 +104,6 @@
 	return lines, nil
 }
 
-// checkFraming returns an error for a response that states the end of its body in two ways, or in chunks by HTTP/1.0, which has none.
-// RFC 9112 calls either framing faulty.
-func checkFraming(h *fasthttp.ResponseHeader, lines []byte) error {
-	switch {
-	case h.ContentLength() == chunkedLength && hasField(lines, fasthttp.HeaderContentLength):
-		return fmt.Errorf("%w: length and chunks", errFraming)
-	case !h.IsHTTP11() && hasField(lines, fasthttp.HeaderTransferEncoding):
-		return fmt.Errorf("%w: chunks by HTTP/1.0", errFraming)
-	}
-	return nil
-}
-
-// hasField reports whether one of the lines is a field with the name.
-func hasField(lines []byte, name string) bool {
-	for line := range bytes.Lines(lines) {
-		field, _, _ := bytes.Cut(line, []byte(":"))
-		if strings.EqualFold(string(field), name) {
-			return true
-		}
-	}
-	return false
-}
-
 // peekLine waits for the line that begins after offset bytes and returns it with its end. Everything up to there stays buffered. It never
 // fails with io.EOF, which would end a body.
 func (c *conn) peekLine(offset int) ([]byte, error) {
@@ -179,35 +125,22 @@
 	}
 }
 
-// checkStatusLine returns an error unless a line is a status line of HTTP/1 with a status of at least 100. fasthttp accepts any version and
-// reason, and takes a status of zero for one that was not set, which it reports as a success.
-func checkStatusLine(line []byte) error {
-	version, rest, _ := bytes.Cut(line, []byte(" "))
-	rest = bytes.TrimLeft(rest, " ")
-	digits := min(len(rest), statusDigits)
-	status, err := strconv.ParseUint(string(rest[:digits]), 10, 16)
-	if err != nil || status < minStatus || !bytes.HasPrefix(version, []byte("HTTP/1.")) || bytes.ContainsFunc(rest[digits:], isControl) {
-		return fmt.Errorf("%w: %.64q", errStatus, line)
+// readBody reads the body of a response, or prepares its stream.
+func (c *conn) readBody(resp *fasthttp.Response, maxBody int) error {
+	switch status := resp.StatusCode(); {
+	case resp.SkipBody, status < http.StatusOK, status == http.StatusNoContent, status == http.StatusNotModified:
+		return nil
 	}
-	return nil
-}
-
-// isControl reports whether a character may not occur in a reason.
-func isControl(r rune) bool {
-	return r < ' ' && r != '\t' || r == 0x7f
-}
-
-// checkFieldLine returns an error unless a line is a field of RFC 9112, whose name is a token that begins the line and is followed by a
-// colon. fasthttp checks the value.
-func checkFieldLine(line []byte) error {
-	colon := bytes.IndexByte(line, ':')
-	if colon < 1 {
-		return fmt.Errorf("%w: %.64q", errFieldLine, line)
+	chunked := resp.Header.ContentLength() == chunkedLength
+	if chunked && resp.StreamBody {
+		resp.SetBodyStream(newChunkedBody(c, &resp.Header), chunkedLength)
+		return nil
 	}
-	for _, b := range line[:colon] {
-		if !httpguts.IsTokenRune(rune(b)) {
-			return fmt.Errorf("%w: %.64q", errFieldLine, line)
-		}
+	if err := resp.ReadBody(c.br, maxBody); err != nil {
+		return fmt.Errorf("read body: %w", err)
+	}
+	if chunked {
+		return c.readTrailers(&resp.Header)
 	}
 	return nil
 }
