--- a/internal/rawhttp/call.go
+++ b/internal/rawhttp/call.go
@@ -23,20 +23,33 @@
 	Lost  error
 }
 
-// CheckMalformed makes the call with the sound response, and with each variant of it whose header is malformed.
-func (c Call) CheckMalformed(t *testing.T) {
+// Calls are calls by their names.
+type Calls map[string]Call
+
+// CheckMalformed makes each call with its sound response, and with each variant of it whose header is malformed.
+func (calls Calls) CheckMalformed(t *testing.T) {
 	t.Helper()
-	c.check(t, Malformed(c.Status, c.Fields, c.Body))
+	for name, c := range calls {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c.check(t, Malformed(c.Status, c.Fields, c.Body))
+		})
+	}
 }
 
-// CheckStatus makes the call with the sound response, and with statuses below 100 in its place.
-func (c Call) CheckStatus(t *testing.T) {
+// CheckStatus makes each call with its sound response, and with statuses below 100 in place of its own.
+func (calls Calls) CheckStatus(t *testing.T) {
 	t.Helper()
-	variants := make(map[string]string)
-	for _, status := range []string{"000", "000 X", "099 X"} {
-		variants["status "+status] = Sound(status, c.Fields, c.Body)
+	for name, c := range calls {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			variants := make(map[string]string)
+			for _, status := range []string{"000", "000 X", "099 X"} {
+				variants["status "+status] = Sound(status, c.Fields, c.Body)
+			}
+			c.check(t, variants)
+		})
 	}
-	c.check(t, variants)
 }
 
 func (c Call) check(t *testing.T, variants map[string]string) {
--- a/io/engine/malformed_test.go
+++ b/io/engine/malformed_test.go
@@ -11,7 +11,7 @@
 )
 
 // callsOfEngines returns the calls that read responses of engines, by what the engine responds.
-func callsOfEngines(t *testing.T) map[string]rawhttp.Call {
+func callsOfEngines(t *testing.T) rawhttp.Calls {
 	const (
 		typeJSON = "Content-Type: application/json\r\n"
 		events   = "id: 0\ndata: {\"n\":1}\n\nid: 1\ndata: [DONE]\n\n"
@@ -25,7 +25,7 @@
 			return call(c)
 		}
 	}
-	calls := make(map[string]rawhttp.Call)
+	calls := make(rawhttp.Calls)
 	for name, row := range map[string]struct {
 		fields, body string
 		call         func(c *engine.Client) error
@@ -113,14 +113,12 @@
 
 // TestMalformedHeaderIsNoResponseOfAnEngine has an engine send headers with malformed field names.
 func TestMalformedHeaderIsNoResponseOfAnEngine(t *testing.T) {
-	for name, call := range callsOfEngines(t) {
-		t.Run(name, func(t *testing.T) { call.CheckMalformed(t) })
-	}
+	t.Parallel()
+	callsOfEngines(t).CheckMalformed(t)
 }
 
 // TestStatusBelow100IsNoResponseOfAnEngine has an engine send statuses that fasthttp takes for a success.
 func TestStatusBelow100IsNoResponseOfAnEngine(t *testing.T) {
-	for name, call := range callsOfEngines(t) {
-		t.Run(name, func(t *testing.T) { call.CheckStatus(t) })
-	}
+	t.Parallel()
+	callsOfEngines(t).CheckStatus(t)
 }
--- a/io/etcd/malformed_test.go
+++ b/io/etcd/malformed_test.go
@@ -13,10 +13,10 @@
 )
 
 // callsOfStore returns the calls that read responses of the key-value service.
-func callsOfStore(t *testing.T) map[string]rawhttp.Call {
+func callsOfStore(t *testing.T) rawhttp.Calls {
 	const typeJSON = "Content-Type: application/json\r\n"
 	ctx := t.Context()
-	calls := make(map[string]rawhttp.Call)
+	calls := make(rawhttp.Calls)
 	for name, row := range map[string]struct {
 		status, body string
 		lost, sound  error
@@ -104,21 +104,11 @@
 // TestMalformedHeaderIsNoResponseOfTheKeyValueService has the service send headers with malformed field names.
 func TestMalformedHeaderIsNoResponseOfTheKeyValueService(t *testing.T) {
 	t.Parallel()
-	for name, call := range callsOfStore(t) {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			call.CheckMalformed(t)
-		})
-	}
+	callsOfStore(t).CheckMalformed(t)
 }
 
 // TestStatusBelow100IsNoResponseOfTheKeyValueService has the service send statuses that fasthttp takes for a success.
 func TestStatusBelow100IsNoResponseOfTheKeyValueService(t *testing.T) {
 	t.Parallel()
-	for name, call := range callsOfStore(t) {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			call.CheckStatus(t)
-		})
-	}
+	callsOfStore(t).CheckStatus(t)
 }
--- a/io/plain/malformed_test.go
+++ b/io/plain/malformed_test.go
@@ -12,7 +12,7 @@
 )
 
 // callsOfServices returns the calls that read responses of plain services.
-func callsOfServices(t *testing.T) map[string]rawhttp.Call {
+func callsOfServices(t *testing.T) rawhttp.Calls {
 	send := func(addr string) error {
 		c, err := plain.New(addr)
 		require.NoError(t, err)
@@ -23,7 +23,7 @@
 		}
 		return err
 	}
-	calls := make(map[string]rawhttp.Call)
+	calls := make(rawhttp.Calls)
 	for _, status := range []string{"200 OK", "404 Not Found", "503 Service Unavailable"} {
 		calls[status] = rawhttp.Call{
 			Status: status,
@@ -39,21 +39,11 @@
 // TestMalformedHeaderIsNoResponseOfAService has a service send headers with malformed field names.
 func TestMalformedHeaderIsNoResponseOfAService(t *testing.T) {
 	t.Parallel()
-	for name, call := range callsOfServices(t) {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			call.CheckMalformed(t)
-		})
-	}
+	callsOfServices(t).CheckMalformed(t)
 }
 
 // TestStatusBelow100IsNoResponseOfAService has a service send statuses that fasthttp takes for a success.
 func TestStatusBelow100IsNoResponseOfAService(t *testing.T) {
 	t.Parallel()
-	for name, call := range callsOfServices(t) {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			call.CheckStatus(t)
-		})
-	}
+	callsOfServices(t).CheckStatus(t)
 }
--- a/io/platform/malformed_test.go
+++ b/io/platform/malformed_test.go
@@ -9,9 +9,9 @@
 	"waxwingpick/io/platform"
 )
 
-// listCall returns the call that reads the list of instances.
-func listCall(t *testing.T) rawhttp.Call {
-	return rawhttp.Call{
+// callsOfPlatform returns the call that reads the list of instances.
+func callsOfPlatform(t *testing.T) rawhttp.Calls {
+	return rawhttp.Calls{"list": {
 		Status: "200 OK",
 		Fields: "Content-Type: application/json\r\n",
 		Body:   `[]`,
@@ -23,17 +23,17 @@
 			return err
 		},
 		Lost: platform.ErrUnavailable,
-	}
+	}}
 }
 
 // TestMalformedHeaderIsNoList has the platform send headers with malformed field names.
 func TestMalformedHeaderIsNoList(t *testing.T) {
 	t.Parallel()
-	listCall(t).CheckMalformed(t)
+	callsOfPlatform(t).CheckMalformed(t)
 }
 
 // TestStatusBelow100IsNoList has the platform send statuses that fasthttp takes for a success.
 func TestStatusBelow100IsNoList(t *testing.T) {
 	t.Parallel()
-	listCall(t).CheckStatus(t)
+	callsOfPlatform(t).CheckStatus(t)
 }
--- a/io/sidecar/malformed_test.go
+++ b/io/sidecar/malformed_test.go
@@ -12,7 +12,7 @@
 
 // callsOfEntries returns the calls by which entries read responses of sidecars. A sidecar that responds with 503 has not run the
 // attempt.
-func callsOfEntries(t *testing.T) map[string]rawhttp.Call {
+func callsOfEntries(t *testing.T) rawhttp.Calls {
 	ctx := t.Context()
 	frame := func(s *sidecar.Stream, err error) error {
 		if err != nil {
@@ -22,7 +22,7 @@
 		_, err = s.Next()
 		return err
 	}
-	calls := make(map[string]rawhttp.Call)
+	calls := make(rawhttp.Calls)
 	for name, call := range map[string]func(c *sidecar.Client, addr string) error{
 		"generate": func(c *sidecar.Client, addr string) error {
 			return frame(c.Generate(ctx, addr, attempt("id"), nil))
@@ -79,14 +79,12 @@
 
 // TestMalformedHeaderIsNoResponseOfASidecar has a sidecar send headers with malformed field names.
 func TestMalformedHeaderIsNoResponseOfASidecar(t *testing.T) {
-	for name, call := range callsOfEntries(t) {
-		t.Run(name, func(t *testing.T) { call.CheckMalformed(t) })
-	}
+	t.Parallel()
+	callsOfEntries(t).CheckMalformed(t)
 }
 
 // TestStatusBelow100IsNoResponseOfASidecar has a sidecar send statuses that fasthttp takes for a success.
 func TestStatusBelow100IsNoResponseOfASidecar(t *testing.T) {
-	for name, call := range callsOfEntries(t) {
-		t.Run(name, func(t *testing.T) { call.CheckStatus(t) })
-	}
+	t.Parallel()
+	callsOfEntries(t).CheckStatus(t)
 }
