--- a/internal/http1/grammar.go
+++ b/internal/http1/grammar.go
@@ -71,8 +71,7 @@
 // hasField reports whether one of the lines is a field with the name.
 func hasField(lines []byte, name string) bool {
 	for line := range bytes.Lines(lines) {
-		field, _, _ := bytes.Cut(line, []byte(":"))
-		if strings.EqualFold(string(field), name) {
+		if len(line) > len(name) && line[len(name)] == ':' && strings.EqualFold(string(line[:len(name)]), name) {
 			return true
 		}
 	}
