--- a/io/etcd/client.go
+++ b/io/etcd/client.go
@@ -123,12 +123,12 @@
 	req.Timeout = c.timeout
 	resp, err := c.http.Send(ctx, req)
 	if err != nil {
-		return 0, nil, err
+		return 0, nil, fmt.Errorf("send: %w", err)
 	}
 	defer resp.Close()
 	content, err = resp.Body(c.maxResponse)
 	if err != nil {
-		return 0, nil, err
+		return 0, nil, fmt.Errorf("read response: %w", err)
 	}
 	return resp.Status(), content, nil
 }
--- a/io/etcd/watch.go
+++ b/io/etcd/watch.go
@@ -42,7 +42,7 @@
 	req.Stream, req.Fresh, req.NoTimeout = true, true, true
 	resp, err := c.http.Send(ctx, req)
 	if err != nil {
-		return err
+		return fmt.Errorf("send: %w", err)
 	}
 	defer resp.Close()
 	if resp.Status() != http.StatusOK {
