tests: use one raw server, and one maker of sidecar clients

Read again as a whole: callRaw of io/plain and generate of io/engine each had the server that loopback.Responder is now, io/sidecar's calls made their client at two places, and a test set a method that it had. All assertions, rows and bounds stay; no code of the product changes.

--- a/internal/daemon/malformed_test.go
+++ b/internal/daemon/malformed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"strconv"
 	"testing"
 
@@ -34,7 +35,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			s := startTestGateway(t)
-			targets := append(append([]*target.Target(nil), s.services...), s.engines[:2]...)
+			targets := slices.Concat(s.services, s.engines[:2])
 			for what, raw := range rawhttp.Malformed(row.status, row.fields, row.body) {
 				setFaults(target.Faults{
 					Raw: raw,
@@ -76,7 +77,7 @@
 	answer := func(path, raw string) (status int, body string, complete bool) {
 		setFaults(target.Faults{
 			Raw: raw,
-		}, append(append([]*target.Target(nil), s.services...), s.engines[:2]...)...)
+		}, slices.Concat(s.services, s.engines[:2])...)
 		return s.read(s.send("id", path, "", "Waxwingpick-Token-Counts", "500,10"))
 	}
 	for what, raw := range rawhttp.MalformedTrailers("200 OK", fields, "mine") {
--- a/io/engine/ends_test.go
+++ b/io/engine/ends_test.go
@@ -1,10 +1,7 @@
 package engine_test
 
 import (
-	"bufio"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 
@@ -34,20 +31,10 @@
 // error unless it is complete.
 func generate(t *testing.T, raw string) ([]string, error) {
 	t.Helper()
-	ln, err := net.Listen("tcp", loopback.AnyPort())
+	peer, err := loopback.NewResponder(func(*http.Request) string { return raw })
 	require.NoError(t, err)
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		c, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		defer c.Close()
-		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-			_, _ = io.WriteString(c, raw)
-		}
-	}()
-	client, err := engine.New(ln.Addr().String())
+	t.Cleanup(peer.Close)
+	client, err := engine.New(peer.Addr())
 	require.NoError(t, err)
 	t.Cleanup(client.Close)
 	return generateOnce(t, client, "id")
--- a/io/plain/foreign_test.go
+++ b/io/plain/foreign_test.go
@@ -93,20 +93,10 @@
 // callRaw calls a service that writes raw bytes and closes its connection in order.
 func callRaw(t *testing.T, raw string) error {
 	t.Helper()
-	ln, err := net.Listen("tcp", loopback.AnyPort())
+	peer, err := loopback.NewResponder(func(*http.Request) string { return raw })
 	require.NoError(t, err)
-	t.Cleanup(func() { ln.Close() })
-	go func() {
-		conn, err := ln.Accept()
-		if err != nil {
-			return
-		}
-		defer conn.Close()
-		if _, err := http.ReadRequest(bufio.NewReader(conn)); err == nil {
-			_, _ = io.WriteString(conn, raw)
-		}
-	}()
-	c, err := plain.New(ln.Addr().String())
+	t.Cleanup(peer.Close)
+	c, err := plain.New(peer.Addr())
 	require.NoError(t, err)
 	t.Cleanup(c.Close)
 	_, err = c.Call(t.Context(), booking(http.MethodGet, "/bookings/1", ""))
--- a/io/sidecar/malformed_test.go
+++ b/io/sidecar/malformed_test.go
@@ -22,6 +22,14 @@
 		_, err = s.Next()
 		return err
 	}
+	of := func(call func(c *sidecar.Client, addr string) error) func(addr string) error {
+		return func(addr string) error {
+			c, err := sidecar.NewClient("fleet", 1<<20)
+			require.NoError(t, err)
+			defer c.Close()
+			return call(c, addr)
+		}
+	}
 	calls := make(rawhttp.Calls)
 	for name, call := range map[string]func(c *sidecar.Client, addr string) error{
 		"generate": func(c *sidecar.Client, addr string) error {
@@ -43,15 +51,9 @@
 			return err
 		},
 	} {
-		send := func(addr string) error {
-			c, err := sidecar.NewClient("fleet", 1<<20)
-			require.NoError(t, err)
-			defer c.Close()
-			return call(c, addr)
-		}
 		calls[name+", refused"] = rawhttp.Call{
 			Status: "503 Service Unavailable",
-			Send:   send,
+			Send:   of(call),
 			Sound:  waxwingpick.ErrEngineUnreachable,
 			Lost:   waxwingpick.ErrEngineLost,
 		}
@@ -59,19 +61,16 @@
 			calls[name] = rawhttp.Call{
 				Status: "200 OK",
 				Body:   `{"attempt":"id","last":true}` + "\n",
-				Send:   send,
+				Send:   of(call),
 				Lost:   waxwingpick.ErrEngineLost,
 			}
 		}
 	}
 	calls["cancel"] = rawhttp.Call{
 		Status: "200 OK",
-		Send: func(addr string) error {
-			c, err := sidecar.NewClient("fleet", 1<<20)
-			require.NoError(t, err)
-			defer c.Close()
+		Send: of(func(c *sidecar.Client, addr string) error {
 			return c.Cancel(ctx, addr, attempt("id"))
-		},
+		}),
 		Lost: waxwingpick.ErrEngineLost,
 	}
 	return calls
