--- a/review/harness-3/configuration.go
+++ b/review/harness-3/configuration.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"time"
 )
 
@@ -22,6 +23,8 @@
 // configuration is the operator's configuration.
 type configuration struct {
 	version int
+	// extra is the number of routes added to the usual ones.
+	extra int
 }
 
 func (c *configuration) encode() map[string]any {
@@ -45,6 +48,13 @@
 			"targetLatencyMs": 100, "priority": 2, "service": plainService, "maxAttempts": 2, "sticky": false, "resumable": false,
 		},
 	}
+	for i := range c.extra {
+		routes = append(routes, map[string]any{
+			"name": fmt.Sprintf("r-extra%05d", i), "host": host, "pathPrefix": fmt.Sprintf("/extra%05d/", i), "kind": "idempotent",
+			"timeoutMs": 800, "targetLatencyMs": 100, "priority": 2, "service": plainService, "maxAttempts": 2, "sticky": false,
+			"resumable": false,
+		})
+	}
 	return map[string]any{
 		"version": c.version,
 		"routes":  routes,
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -24,6 +24,7 @@
 
 // cases are the scripts by the names that they pass.
 var cases = map[string]func(ctx context.Context, w *world, trouble bool) error{
+	"behind":  behindCase,
 	"idle":    idleCase,
 	"poison":  poisonCase,
 	"release": releaseCase,
