--- a/review/harness-3/configuration.go
+++ b/review/harness-3/configuration.go
@@ -25,6 +25,8 @@
 	version int
 	// extra is the number of routes added to the usual ones.
 	extra int
+	// rosterService is the service of roster-read.
+	rosterService string
 }
 
 func (c *configuration) encode() map[string]any {
@@ -45,7 +47,7 @@
 		},
 		{
 			"name": "r-roster", "host": host, "pathPrefix": "/puxa403/", "kind": "idempotent", "timeoutMs": 800,
-			"targetLatencyMs": 100, "priority": 2, "service": plainService, "maxAttempts": 2, "sticky": false, "resumable": false,
+			"targetLatencyMs": 100, "priority": 2, "service": c.rosterService, "maxAttempts": 2, "sticky": false, "resumable": false,
 		},
 	}
 	for i := range c.extra {
@@ -67,6 +69,7 @@
 					"holdMs": 2000.0, "models": []map[string]any{{"name": "m"}},
 				},
 			},
+			{"name": movedService, "healthPath": "/health", "maxConnections": 110, "protocol": "h1", "tls": false},
 			{"name": plainService, "healthPath": "/health", "maxConnections": 110, "protocol": "h1", "tls": false},
 		},
 		"limits": map[string]any{
--- a/review/harness-3/main.go
+++ b/review/harness-3/main.go
@@ -24,10 +24,10 @@
 
 // cases are the scripts by the names that they pass.
 var cases = map[string]func(ctx context.Context, w *world, trouble bool) error{
-	"behind":  behindCase,
+	"backlog": backlogCase,
 	"idle":    idleCase,
 	"poison":  poisonCase,
-	"release": releaseCase,
+	"turned":  turnedCase,
 	"refused": refusedCase,
 }
 
--- a/review/harness-3/poison.go
+++ b/review/harness-3/poison.go
@@ -13,7 +13,7 @@
 
 const (
 	// poisonBody is the body of the request that crashes each replica that begins to run it.
-	poisonBody = "a booking that crashes each replica that begins to run it"
+	poisonBody = "a rework that crashes each replica that begins to run it"
 	// poisonPause is the time after which such a request comes again, and poisonRun how long it does so.
 	poisonPause = 2 * time.Second
 	poisonRun   = 30 * time.Second
@@ -87,25 +87,23 @@
 	defer stop()
 	counts := make(map[string]int)
 	var wg sync.WaitGroup
-	wg.Go(func() {
-		for t := time.NewTicker(time.Duration(float64(time.Second) / bookingCommit.perSecond)); sending.Err() == nil; {
-			select {
-			case <-sending.Done():
-			case <-t.C:
+	for _, k := range []kind{seasonReplan, teacherQuery, bookingCommit, rosterRead} {
+		go func() {
+			for sleep(sending, time.Duration(float64(time.Second)/k.perSecond)) {
 				wg.Go(func() {
-					a := once(g.front, bookingCommit)
+					a := once(g.front, k)
 					mu.Lock()
 					defer mu.Unlock()
-					counts[a.String()]++
+					counts[a.kind+" "+a.String()]++
 				})
 			}
-		}
-	})
+		}()
+	}
 	ids := make(map[string]string)
 	for n := 1; sleep(sending, poisonPause); n++ {
-		k := bookingCommit
+		k := seasonReplan
 		if os.Getenv("CONSTANT") != "1" {
-			k.path = fmt.Sprintf("%s?attempt=%d", bookingPath, n)
+			k.path = fmt.Sprintf("%s?attempt=%d", replanPath, n)
 		}
 		k.body = poisonBody
 		a := once(g.front, k)
@@ -113,7 +111,7 @@
 		w.record.printf("POST %s: %s", k.path, a)
 	}
 	wg.Wait()
-	w.record.printf("other bookings: %v", counts)
+	w.record.printf("other requests: %v", counts)
 	var reached []time.Time
 	for _, r := range w.all() {
 		for _, ran := range r.allRuns() {
--- a/review/harness-3/world.go
+++ b/review/harness-3/world.go
@@ -102,7 +102,9 @@
 		dir:    dir,
 		limits: frontLimits,
 		store:  s,
-		config: &configuration{},
+		config: &configuration{
+			rosterService: plainService,
+		},
 	}, nil
 }
 
