gateway: no status promises "not run" unless the target states it

A request that may be repeated got 408 and 429 at once, without another target being tried.

Cause: exchange.classify asks whether the target states "not run" and whether the status is 500 or more, and hasResponse whether there is any status. Nothing asks what a status promises to the caller.

Change: a response with 408, 429 or 503 whose target does not state that it has not run the request (Waxwingpick-Not-Executed; 421 needs no more) is not returned. The request may have run (reason unstatedRefusal): it goes to another target where it may be repeated, and else its caller gets the gateway's own 502 without the target's stamp, body and Retry-After. All other statuses pass as they are. A request that may be repeated gets no exception: "each means that the request has not run and never will run" makes none, "They retry idempotent requests after any failure", and 502 promises nothing.

--- a/core/retry/retry.go
+++ b/core/retry/retry.go
@@ -235,7 +235,7 @@
 	switch reason {
 	case waxwingpick.ReasonOverload, waxwingpick.ReasonDeadline, waxwingpick.ReasonLeaving,
 		waxwingpick.ReasonStopping, waxwingpick.ReasonWrongModel, waxwingpick.ReasonStaleIncarnation,
-		waxwingpick.ReasonTargetUnreachable, waxwingpick.ReasonTargetLost:
+		waxwingpick.ReasonTargetUnreachable, waxwingpick.ReasonTargetLost, waxwingpick.ReasonUnstatedRefusal:
 		return true
 	case waxwingpick.ReasonRateLimit, waxwingpick.ReasonCrashSuspect, waxwingpick.ReasonKeyValue,
 		waxwingpick.ReasonFenced, waxwingpick.ReasonNoTarget, waxwingpick.ReasonKeyReuse,
--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -62,7 +62,13 @@
 
 // hasResponse reports whether the target's response may be returned to the caller.
 func (s sendResult) hasResponse() bool {
-	return s.reply.Status != 0 && s.err == nil && !s.reply.NotRun
+	return s.reply.Status != 0 && s.err == nil && !s.reply.NotRun && !s.unstatedRefusal()
+}
+
+// unstatedRefusal reports whether the status of a response promises that the request has not run although its target does not state
+// so.
+func (s sendResult) unstatedRefusal() bool {
+	return !s.reply.NotRun && waxwingpick.PromisesNotRun(s.reply.Status)
 }
 
 // choose selects the targets of the next attempt, or returns the reason why there are none.
@@ -284,6 +290,8 @@
 		s.refusal = waxwingpick.NotRun(waxwingpick.ReasonStaleIncarnation, noTargetRetry, "address belongs to another target")
 	case reply.NotRun:
 		s.refusal = waxwingpick.NotRun(waxwingpick.ReasonOverload, noTargetRetry, "target refused the request")
+	case s.unstatedRefusal():
+		s.refusal = waxwingpick.Unknown(waxwingpick.ReasonUnstatedRefusal, "target did not state that it has not run the request")
 	case reply.Status >= http.StatusInternalServerError:
 		// The caller still gets this response unless an attempt at another target succeeds.
 		s.refusal = waxwingpick.Unknown(waxwingpick.ReasonTargetLost, "target returned a server error")
--- a/internal/standin/target/target.go
+++ b/internal/standin/target/target.go
@@ -56,6 +56,8 @@
 	// Raw is written as it is in response to each request that runs, and the connection is closed in order then, unless it is
 	// empty.
 	Raw string
+	// PrefillRaw is written in the same way in response to each prefill stage.
+	PrefillRaw string
 	// AfterRaw is called between the writing of Raw and the end of the connection, unless it is nil.
 	AfterRaw func()
 	// Identity is what the target says of its incarnation, unless it is nil.
@@ -310,7 +312,7 @@
 		}
 		return c.SendStatus(http.StatusServiceUnavailable)
 	case c.Get("Waxwingpick-Serving-Stage") == "prefill":
-		return t.prefill(c)
+		return t.prefill(c, faults.PrefillRaw)
 	}
 	if source := c.Get("Waxwingpick-Kv-Source"); source != "" && !strings.Contains(source, "/") {
 		c.Set("Waxwingpick-Not-Executed", "1")
@@ -337,13 +339,7 @@
 		return nil
 	}
 	if faults.Raw != "" {
-		c.RequestCtx().HijackSetNoResponse(true)
-		c.RequestCtx().Hijack(func(conn net.Conn) {
-			_, _ = io.WriteString(conn, faults.Raw)
-			if faults.AfterRaw != nil {
-				faults.AfterRaw()
-			}
-		})
+		writeRaw(c, faults.Raw, faults.AfterRaw)
 		return nil
 	}
 	c.Set("Waxwingpick-Server-Stamp", "stamp-of-"+t.id)
@@ -361,8 +357,19 @@
 	return t.stream(c, faults.BreakAfter, func() { conn.Close() })
 }
 
-// prefill responds with a new KV cache handle. Only a target of the prefill stage does.
-func (t *Target) prefill(c fiber.Ctx) error {
+// writeRaw responds with raw bytes, calls after unless it is nil, and closes the connection in order.
+func writeRaw(c fiber.Ctx, raw string, after func()) {
+	c.RequestCtx().HijackSetNoResponse(true)
+	c.RequestCtx().Hijack(func(conn net.Conn) {
+		_, _ = io.WriteString(conn, raw)
+		if after != nil {
+			after()
+		}
+	})
+}
+
+// prefill responds with a new KV cache handle, or with raw unless it is empty. Only a target of the prefill stage does.
+func (t *Target) prefill(c fiber.Ctx, raw string) error {
 	if t.stage != "prefill" {
 		return c.SendStatus(http.StatusMisdirectedRequest)
 	}
@@ -371,6 +378,10 @@
 	defer t.mu.Unlock()
 	t.prefills++
 	t.received = append(t.received, r)
+	if raw != "" {
+		writeRaw(c, raw, nil)
+		return nil
+	}
 	handle := fmt.Sprint("handle", t.prefills)
 	t.handles[handle] = true
 	return c.JSON(fiber.Map{
--- a/io/prometheus/labels.go
+++ b/io/prometheus/labels.go
@@ -72,6 +72,7 @@
 	waxwingpick.ReasonNoTarget,
 	waxwingpick.ReasonTargetUnreachable,
 	waxwingpick.ReasonTargetLost,
+	waxwingpick.ReasonUnstatedRefusal,
 	waxwingpick.ReasonKeyReuse,
 	waxwingpick.ReasonKeyExpired,
 	waxwingpick.ReasonStopping,
--- a/outcome.go
+++ b/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -16,6 +17,16 @@
 	OutcomeUnknown Outcome = "unknown"
 )
 
+// PromisesNotRun reports whether an HTTP status tells a caller that its request has not run and will not run. It is no statement of
+// the target that sends it.
+func PromisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // Reason is the cause of a refusal.
 type Reason string
 
@@ -33,6 +44,7 @@
 	ReasonNoTarget          Reason = "noTarget"
 	ReasonTargetUnreachable Reason = "targetUnreachable"
 	ReasonTargetLost        Reason = "targetLost"
+	ReasonUnstatedRefusal   Reason = "unstatedRefusal"
 	ReasonKeyReuse          Reason = "idempotencyKeyReuse"
 	ReasonKeyExpired        Reason = "idempotencyKeyExpired"
 	ReasonStopping          Reason = "stopping"
--- a/target.go
+++ b/target.go
@@ -63,7 +63,7 @@
 	Body    []byte
 	// Events is the body of a streamed response; nil for a complete one.
 	Events RawEvents
-	// NotRun means that the target has not run the request and will not run it.
+	// NotRun means that the target states that it has not run the request and will not run it.
 	NotRun bool
 	// Misdirected means that the address belongs to another target.
 	Misdirected bool
