--- a/io/etcd/errors.go
+++ b/io/etcd/errors.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"net/http"
 
 	"waxwingpick"
 	"waxwingpick/internal/etcdwire"
@@ -70,9 +69,9 @@
 	return exchangeError(kind, e)
 }
 
-// rejectedBeforeProposal reports whether the service rejected the request before it proposed a write to its members.
+// rejectedBeforeProposal reports whether the service states that it rejected the request before it proposed a write to its members. The
+// HTTP status alone may come from a server in front of it.
 func rejectedBeforeProposal(e *StatusError) bool {
-	return e.status == http.StatusTooManyRequests ||
-		e.code == etcdwire.CodeResourceExhausted ||
+	return e.code == etcdwire.CodeResourceExhausted ||
 		e.message == etcdwire.MessageNoLeader
 }
--- a/io/etcd/fault_test.go
+++ b/io/etcd/fault_test.go
@@ -103,6 +103,10 @@
 			name:    "too many requests",
 			arrange: respondWith(fasthttp.StatusTooManyRequests, `{"error":"etcdserver: too many requests","code":8,"message":"etcdserver: too many requests"}`),
 		},
+		{
+			name:    "error page for too many requests",
+			arrange: respondWith(fasthttp.StatusTooManyRequests, "<html>too many requests</html>"),
+		},
 		{
 			name:    "lease not found",
 			arrange: respondWith(fasthttp.StatusNotFound, `{"error":"etcdserver: requested lease not found","code":5,"message":"etcdserver: requested lease not found"}`),
