engine: 429 and 503 are refusals only where the engine states so

Callers would see: a generation that an engine has started, answered 503 "not run", if the engine or a server in front of it then answers 429 or 503.

Cause: statusCause took 429 and 503 for "did not run" by their number, and so did everything behind it: the sidecar's refusal, the split into stages, the entry's retries, and the executor's belief that an order is not under way.

Change: 408, 421, 429 and 503 are refusals only with notRun in the error body; without it the request may have run, is cancelled at the engine and sent to another one. Errors in the request itself (400, 401, 403, 404, 405, 413, 415, 422) are found before it runs, and stay refusals by their number. Engines that do not send the field lose nothing but the certainty.

The sound refusals of two tests state notRun now, as the adapter believes no other; what the tests check is the same.

--- a/internal/standin/engine/faults.go
+++ b/internal/standin/engine/faults.go
@@ -15,6 +15,8 @@
 	SlowResponses server.Millis `json:"slowAnswers"`
 	// RefuseWork is the number of next requests and imports to reject, as the engine does while it applies an order.
 	RefuseWork int `json:"refuseWork"`
+	// FailStarted is the status of the response to each request that the engine has started to run; zero for none.
+	FailStarted int `json:"failStarted"`
 	// IgnoreFencing makes the engine accept orders with an old fencing number.
 	IgnoreFencing bool `json:"ignoreFencing"`
 	// CrashInOrder is the number of next orders that crash the engine while it applies them.
--- a/internal/standin/engine/http.go
+++ b/internal/standin/engine/http.go
@@ -96,6 +96,14 @@
 	if err := e.begin(s, req); err != nil {
 		return e.sendError(c, err)
 	}
+	if status := e.Faults().FailStarted; status != 0 {
+		return c.Status(status).JSON(errorBody{
+			Error: errorDetail{
+				Message: "failed after the start",
+				Type:    "unavailable",
+			},
+		})
+	}
 	if req.Stream {
 		return e.streamEvents(c, s, 0)
 	}
@@ -348,6 +356,7 @@
 		Error: errorDetail{
 			Message: err.Error(),
 			Type:    kind,
+			NotRun:  status != fiber.StatusConflict,
 		},
 	})
 }
--- a/internal/standin/engine/openai.go
+++ b/internal/standin/engine/openai.go
@@ -59,6 +59,8 @@
 type errorDetail struct {
 	Message string `json:"message"`
 	Type    string `json:"type"`
+	// NotRun states that the request has not run and will not run.
+	NotRun bool `json:"notRun"`
 }
 
 // parseRequest parses a request into a stream that is not yet submitted.
--- a/io/engine/errors.go
+++ b/io/engine/errors.go
@@ -46,6 +46,8 @@
 type errorDetail struct {
 	Message string `json:"message"`
 	Type    string `json:"type"`
+	// NotRun is the engine's statement that it has not run the request.
+	NotRun bool `json:"notRun"`
 }
 
 // checkStatus returns nil for a 2xx status and a StatusError otherwise.
@@ -55,7 +57,7 @@
 		return nil
 	}
 	var body errorBody
-	// The message is only logged, so a body that can't be read leaves it empty.
+	// A body that can't be read states nothing.
 	if data, err := resp.Body(maxErrorBytes); err == nil {
 		_ = json.Unmarshal(data, &body)
 	}
@@ -63,16 +65,19 @@
 		status:  status,
 		kind:    body.Error.Type,
 		message: body.Error.Message,
-		err:     statusCause(status, body.Error.Type),
+		err:     statusCause(status, body.Error),
 	}
 }
 
-// statusCause returns ErrEngineRefused for statuses after which the request has not run, ErrStaleFencingNumber for
-// a stale order, and ErrEngineLost for statuses that leave open whether the request has run.
-func statusCause(status int, kind string) error {
+// statusCause returns ErrEngineRefused if the request has not run, ErrStaleFencingNumber for a stale order, and ErrEngineLost if the
+// response leaves open whether the request has run.
+//
+// Errors in the request itself are found before it runs. Any other status says nothing by its number: a server in front of the engine may
+// send 408, 429 or 503 after it has passed the request on.
+func statusCause(status int, detail errorDetail) error {
 	switch status {
 	case http.StatusConflict:
-		if kind == errorTypeStale {
+		if detail.Type == errorTypeStale {
 			return waxwingpick.ErrStaleFencingNumber
 		}
 		// The stream ID has been used before, so an earlier request with it may have run.
@@ -84,9 +89,10 @@
 		http.StatusMethodNotAllowed,
 		http.StatusRequestEntityTooLarge,
 		http.StatusUnsupportedMediaType,
-		http.StatusUnprocessableEntity,
-		http.StatusTooManyRequests,
-		http.StatusServiceUnavailable:
+		http.StatusUnprocessableEntity:
+		return waxwingpick.ErrEngineRefused
+	}
+	if waxwingpick.PromisesNotRun(status) && detail.NotRun {
 		return waxwingpick.ErrEngineRefused
 	}
 	return waxwingpick.ErrEngineLost
--- a/io/engine/foreign_test.go
+++ b/io/engine/foreign_test.go
@@ -21,7 +21,7 @@
 // engines do not name their requests.
 func TestEarlierResponseIsNotTheAnswerToALaterRequest(t *testing.T) {
 	t.Parallel()
-	const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n"
+	const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 25\r\n\r\n{\"error\":{\"notRun\":true}}"
 	generation := func(data string) string {
 		events := fmt.Sprintf("id: 0\ndata: {\"n\":%q}\n\nid: 1\ndata: [DONE]\n\n", data)
 		return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nContent-Length: %d\r\n\r\n%s", len(events), events)
--- a/io/engine/malformed_test.go
+++ b/io/engine/malformed_test.go
@@ -102,7 +102,7 @@
 		calls[name+", refused"] = rawhttp.Call{
 			Status: "503 Service Unavailable",
 			Fields: "Retry-After: 9\r\n" + typeJSON,
-			Body:   "{}",
+			Body:   `{"error":{"notRun":true}}`,
 			Send:   of(row.call),
 			Lost:   waxwingpick.ErrEngineLost,
 			Sound:  waxwingpick.ErrEngineRefused,
