sidecar: an attempt was rejected only where the sidecar states so

Cause: the client of sidecars took every 4xx and 503 for "the sidecar did not accept the attempt". Addresses are reassigned, and another server's status says nothing of the attempt; nor would one that a sidecar sends after the run.

Change: a sidecar states with Waxwing-Rejected that no handler got an attempt, in each place where it rejects one. Without it any status but 200 leaves open whether the attempt ran.

TestStatusTellsWhetherTheAttemptWasAccepted held that the number tells. The sound refusals of callsOfEntries state it, too.

Measured: that test and TestSidecarStatesThatItRejectsAnAttempt (rejections of a real sidecar) fail on the code before and pass now.

--- a/io/sidecar/client.go
+++ b/io/sidecar/client.go
@@ -102,7 +102,7 @@
 	}
 	defer resp.Close()
 	if resp.Status() == http.StatusForbidden {
-		return fmt.Errorf("cancel %s: %w", a.ID, statusError(resp.Status()))
+		return fmt.Errorf("cancel %s: %w", a.ID, statusError(resp))
 	}
 	return nil
 }
@@ -161,7 +161,7 @@
 func decodeResult(resp *http1.Response, a Attempt, maxBody int) (Result, error) {
 	var r Result
 	if resp.Status() != http.StatusOK {
-		return r, statusError(resp.Status())
+		return r, statusError(resp)
 	}
 	if err := json.Unmarshal([]byte(resp.Header(resultHeader)), &r); err != nil {
 		return r, fmt.Errorf("decode result: %w: %w", waxwingpick.ErrEngineLost, err)
@@ -218,7 +218,7 @@
 	}
 	if resp.Status() != http.StatusOK {
 		defer resp.Close()
-		return nil, statusError(resp.Status())
+		return nil, statusError(resp)
 	}
 	lines := bufio.NewScanner(resp.Stream())
 	lines.Buffer(make([]byte, 0, lineBuffer), MaxFrameSize)
@@ -244,16 +244,17 @@
 	return c.credentials.Connect(ctx, raw, mtls.RoleSidecar)
 }
 
-// statusError returns the error for an unsuccessful status. A sidecar rejects attempts that it does not accept with a
-// client error or 503. It may send any other status after the run.
-func statusError(status int) error {
-	switch {
-	case status == http.StatusForbidden:
+// statusError returns the error for a response without a result. A sidecar states that it has not run an attempt that it rejects.
+// Another server at its address, or a failure after the run, states nothing.
+func statusError(resp *http1.Response) error {
+	status := resp.Status()
+	if resp.Header(rejectedHeader) == "" {
+		return fmt.Errorf("sidecar responded with status %d: %w", status, waxwingpick.ErrEngineLost)
+	}
+	if status == http.StatusForbidden {
 		return fmt.Errorf("%w: %w", waxwingpick.ErrEngineUnreachable, mtls.ErrRefused)
-	case status >= http.StatusBadRequest && status < http.StatusInternalServerError, status == http.StatusServiceUnavailable:
-		return fmt.Errorf("sidecar responded with status %d: %w", status, waxwingpick.ErrEngineUnreachable)
 	}
-	return fmt.Errorf("sidecar responded with status %d: %w", status, waxwingpick.ErrEngineLost)
+	return fmt.Errorf("sidecar responded with status %d: %w", status, waxwingpick.ErrEngineUnreachable)
 }
 
 // Stream yields the frames of one attempt. It is not safe for concurrent use.
--- a/io/sidecar/malformed_test.go
+++ b/io/sidecar/malformed_test.go
@@ -53,6 +53,7 @@
 	} {
 		calls[name+", refused"] = rawhttp.Call{
 			Status: "503 Service Unavailable",
+			Fields: "Waxwing-Rejected: 1\r\n",
 			Send:   of(call),
 			Sound:  waxwingpick.ErrEngineUnreachable,
 			Lost:   waxwingpick.ErrEngineLost,
--- a/io/sidecar/outcome_test.go
+++ b/io/sidecar/outcome_test.go
@@ -1,10 +1,14 @@
 package sidecar_test
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"math"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -92,28 +96,62 @@
 	}
 }
 
-func TestStatusTellsWhetherTheAttemptWasAccepted(t *testing.T) {
-	for status, want := range map[int]error{
-		http.StatusBadRequest:                  waxwingpick.ErrEngineUnreachable,
-		http.StatusForbidden:                   waxwingpick.ErrEngineUnreachable,
-		http.StatusNotFound:                    waxwingpick.ErrEngineUnreachable,
-		http.StatusRequestEntityTooLarge:       waxwingpick.ErrEngineUnreachable,
-		http.StatusRequestHeaderFieldsTooLarge: waxwingpick.ErrEngineUnreachable,
-		http.StatusServiceUnavailable:          waxwingpick.ErrEngineUnreachable,
-		http.StatusInternalServerError:         waxwingpick.ErrEngineLost,
-		http.StatusBadGateway:                  waxwingpick.ErrEngineLost,
-		http.StatusGatewayTimeout:              waxwingpick.ErrEngineLost,
-		http.StatusAccepted:                    waxwingpick.ErrEngineLost,
-		http.StatusFound:                       waxwingpick.ErrEngineLost,
+// TestOnlyAStatementTellsThatAnAttemptWasRejected has a server at the address of a sidecar respond with each status, with and without the
+// statement of a sidecar that it has not run the attempt.
+func TestOnlyAStatementTellsThatAnAttemptWasRejected(t *testing.T) {
+	for _, status := range []int{
+		http.StatusBadRequest, http.StatusForbidden, http.StatusNotFound, http.StatusRequestTimeout, http.StatusRequestEntityTooLarge,
+		http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusRequestHeaderFieldsTooLarge, http.StatusServiceUnavailable,
+		http.StatusInternalServerError, http.StatusBadGateway, http.StatusGatewayTimeout, http.StatusAccepted, http.StatusFound,
 	} {
-		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			w.WriteHeader(status)
-		}))
-		c := client(t)
-		_, err := c.Call(t.Context(), s.Listener.Addr().String(), attempt("a"), nil)
-		require.ErrorIs(t, err, want, status)
-		_, err = c.Generate(t.Context(), s.Listener.Addr().String(), attempt("b"), nil)
-		require.ErrorIs(t, err, want, status)
-		s.Close()
+		for stated, want := range map[bool]error{
+			true:  waxwingpick.ErrEngineUnreachable,
+			false: waxwingpick.ErrEngineLost,
+		} {
+			s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if stated {
+					w.Header().Set("Waxwing-Rejected", "1")
+				}
+				w.WriteHeader(status)
+			}))
+			c := client(t)
+			_, err := c.Call(t.Context(), s.Listener.Addr().String(), attempt("a"), nil)
+			require.ErrorIs(t, err, want, "%d, stated: %t", status, stated)
+			_, err = c.Generate(t.Context(), s.Listener.Addr().String(), attempt("b"), nil)
+			require.ErrorIs(t, err, want, "%d, stated: %t", status, stated)
+			_, err = c.Prefill(t.Context(), s.Listener.Addr().String(), attempt("c"), nil)
+			require.ErrorIs(t, err, want, "%d, stated: %t", status, stated)
+			s.Close()
+		}
 	}
 }
+
+// TestSidecarStatesThatItRejectsAnAttempt sends a sidecar requests that it runs no attempt of.
+func TestSidecarStatesThatItRejectsAnAttempt(t *testing.T) {
+	h := &testHandler{}
+	s, addr := serve(t, h, "127.0.0.1:0")
+	defer stop(t, s)
+	const attemptOf = "Waxwing-Attempt: {\"id\":\"a\"}\r\n"
+	for what, row := range map[string]struct {
+		request string
+		status  int
+	}{
+		"no attempt":     {request: "POST /calls HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n", status: http.StatusBadRequest},
+		"broken attempt": {request: "POST /calls HTTP/1.1\r\nHost: a\r\nWaxwing-Attempt: {\r\nContent-Length: 0\r\n\r\n", status: http.StatusBadRequest},
+		"unknown path":   {request: "POST /other HTTP/1.1\r\nHost: a\r\n" + attemptOf + "Content-Length: 0\r\n\r\n", status: http.StatusNotFound},
+		"large header":   {request: "POST /calls HTTP/1.1\r\nHost: a\r\n" + attemptOf + "X-Large: " + strings.Repeat("x", 1<<20) + "\r\n\r\n", status: http.StatusRequestHeaderFieldsTooLarge},
+		"large body":     {request: "POST /calls HTTP/1.1\r\nHost: a\r\n" + attemptOf + "Content-Length: 100000000\r\n\r\n", status: http.StatusRequestEntityTooLarge},
+		"no HTTP":        {request: "no HTTP\r\n\r\n", status: http.StatusBadRequest},
+	} {
+		conn, err := net.Dial("tcp", addr)
+		require.NoError(t, err, what)
+		// The sidecar may respond and close the connection before it has read everything.
+		_, _ = io.WriteString(conn, row.request)
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		require.NoError(t, err, what)
+		require.Equal(t, row.status, resp.StatusCode, what)
+		require.Equal(t, "1", resp.Header.Get("Waxwing-Rejected"), what)
+		conn.Close()
+	}
+	require.Zero(t, h.calls.Load())
+}
--- a/io/sidecar/server.go
+++ b/io/sidecar/server.go
@@ -146,14 +146,20 @@
 // rejectUnreadable responds to a request that could not be read, and therefore has not run.
 func rejectUnreadable(ctx *fasthttp.RequestCtx, err error) {
 	status := httpserver.UnreadableStatus(err)
-	ctx.Error(http.StatusText(status), status)
+	reject(ctx, http.StatusText(status), status)
 	tcp.LingerOnClose(ctx.Conn())
 }
 
+// reject responds to a request that no handler has received.
+func reject(ctx *fasthttp.RequestCtx, detail string, status int) {
+	ctx.Error(detail, status)
+	ctx.Response.Header.Set(rejectedHeader, "1")
+}
+
 func (s *Server) serve(ctx *fasthttp.RequestCtx) {
 	path := string(ctx.Path())
 	if err := s.credentials.Authorize(ctx.Conn(), path, allowedRoles(path)); err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusForbidden)
+		reject(ctx, err.Error(), fasthttp.StatusForbidden)
 		return
 	}
 	if path == metricsPath {
@@ -162,7 +168,7 @@
 	}
 	a, err := decodeAttempt(ctx.Request.Header.Peek(attemptHeader))
 	if err != nil {
-		ctx.Error(err.Error(), fasthttp.StatusBadRequest)
+		reject(ctx, err.Error(), fasthttp.StatusBadRequest)
 		return
 	}
 	switch path {
@@ -189,7 +195,7 @@
 			return s.handler.Export(ctx, a)
 		})
 	default:
-		ctx.Error("no such path", fasthttp.StatusNotFound)
+		reject(ctx, "no such path", fasthttp.StatusNotFound)
 	}
 }
 
--- a/io/sidecar/wire.go
+++ b/io/sidecar/wire.go
@@ -26,13 +26,15 @@
 const (
 	attemptHeader = "Waxwing-Attempt"
 	resultHeader  = "Waxwing-Result"
-	generatePath  = "/attempts"
-	resumePath    = "/attempts/resume"
-	cancelPath    = "/attempts/cancel"
-	callPath      = "/calls"
-	prefillPath   = "/prefill"
-	exportPath    = "/export"
-	metricsPath   = "/metrics"
+	// rejectedHeader states that the sidecar has not run the attempt.
+	rejectedHeader = "Waxwing-Rejected"
+	generatePath   = "/attempts"
+	resumePath     = "/attempts/resume"
+	cancelPath     = "/attempts/cancel"
+	callPath       = "/calls"
+	prefillPath    = "/prefill"
+	exportPath     = "/export"
+	metricsPath    = "/metrics"
 )
 
 // Attempt is one attempt to run a request at a target.
