entry: a plain service's status promises nothing about its call

Callers saw (by test): a service's own 408, 421, 429 or 503 after it had run an order, which the table of docs/INTERFACES.md calls "not run". A call that may be repeated got it at once. And a service that fails its calls at once drew all of them: 0 of 100 served beside a sound one, with 429, 500 and 503.

Cause: io/plain passes each status on, rightly; the entry returned it, and counted any response as a good one for the choice of targets.

Change: the entry returns a problem (502, unknown, unstatedRefusal) in place of these four, after another target was tried if the call may be repeated. Responses with these statuses or 500 and up count as failures of the target, and the attempt's log line has the status.

--- a/core/routing/request.go
+++ b/core/routing/request.go
@@ -95,7 +95,7 @@
 	ResultResponded Result = iota
 	// ResultRefused means that the sidecar refused the attempt, which says nothing about the target's health.
 	ResultRefused
-	// ResultFailed means that the target could not be reached or its response broke off.
+	// ResultFailed means that the target could not be reached, that its response broke off or that it was a failure.
 	ResultFailed
 	// ResultLeaving means that the sidecar refused the attempt because its target is leaving.
 	ResultLeaving
--- a/internal/entry/orders.go
+++ b/internal/entry/orders.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"net/http"
 	"slices"
 	"time"
 
 	"github.com/google/uuid"
+	"github.com/rotisserie/eris"
 
 	"waxwingpick"
 	"waxwingpick/core/classify"
@@ -78,10 +81,22 @@
 	ctx, cancel := context.WithDeadline(ctx, c.class.Deadline)
 	defer cancel()
 	resp, err := c.run(ctx)
+	if refusal := unstatedRefusal(resp); err == nil && refusal != nil {
+		resp, err = waxwingpick.CallResponse{}, refusal
+	}
 	p.recordCall(c, now, err)
 	return resp, err
 }
 
+// unstatedRefusal returns the refusal in place of a response whose status would tell the caller that the call has not run; nil for any
+// other. Plain services have no way to state that.
+func unstatedRefusal(resp waxwingpick.CallResponse) *waxwingpick.Refusal {
+	if !waxwingpick.PromisesNotRun(resp.Status) {
+		return nil
+	}
+	return waxwingpick.Unknown(waxwingpick.ReasonUnstatedRefusal, fmt.Sprintf("service responded with status %d", resp.Status))
+}
+
 // unclaimedRefusal returns the refusal of a call whose claim was not read. If the call has an idempotency key, an earlier
 // request with that key may have run.
 func unclaimedRefusal(call openai.ServiceCall, refusal *waxwingpick.Refusal) *waxwingpick.Refusal {
@@ -125,14 +140,18 @@
 		}
 		c.tried = append(c.tried, target.choice.Target)
 		result, err := c.send(ctx, uuid.NewString(), target, target.incarnation)
-		if err == nil {
-			return waxwingpick.CallResponse{
-				Status:  result.Status,
-				Headers: result.Headers,
-				Body:    result.Body,
-			}, nil
+		resp := waxwingpick.CallResponse{
+			Status:  result.Status,
+			Headers: result.Headers,
+			Body:    result.Body,
+		}
+		refusal := unstatedRefusal(resp)
+		switch {
+		case err != nil:
+			refusal = callRefusal(err)
+		case refusal == nil:
+			return resp, nil
 		}
-		refusal := callRefusal(err)
 		mayHaveRun = mayHaveRun || refusal.Outcome != waxwingpick.OutcomeNotRun
 		verdict := c.process.decide(retry.Attempt{
 			Number:     attemptNumber,
@@ -229,14 +248,22 @@
 	if err == nil && result.Refusal != nil {
 		err = result.Refusal
 	}
-	outcome := callResult(err)
-	c.process.recordAttempt(c.trail, id, target.instance.Target, outcome, err)
+	outcome, failure := callResult(err), err
+	if err == nil && !served(result.Status) {
+		outcome, failure = routing.ResultFailed, eris.Errorf("service responded with status %d", result.Status)
+	}
+	c.process.recordAttempt(c.trail, id, target.instance.Target, outcome, failure)
 	if target.choice.Target != "" {
 		c.targets.done(c.process.timers.Now(), target, outcome)
 	}
 	return result, err
 }
 
+// served reports whether a response is none of a target that fails its calls.
+func served(status int) bool {
+	return status < http.StatusInternalServerError && !waxwingpick.PromisesNotRun(status)
+}
+
 func callResult(err error) routing.Result {
 	if err == nil {
 		return routing.ResultResponded
--- a/internal/standin/service/service.go
+++ b/internal/standin/service/service.go
@@ -19,6 +19,7 @@
 	keyHeader     = "Idempotency-Key"
 	bookingHeader = "X-Booking"
 	textNotFound  = "no such booking"
+	textFailure   = "failed after the run"
 )
 
 // Run is a request that the service ran.
@@ -46,6 +47,8 @@
 	runs     []Run
 	created  int
 	crashes  int
+	// failure is the status of each response, after the run; zero for none.
+	failure int
 }
 
 // New starts a service.
@@ -77,6 +80,13 @@
 	return s.server
 }
 
+// FailAfterRuns makes the service respond with a status to each request that it runs. Zero ends that.
+func (s *Service) FailAfterRuns(status int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failure = status
+}
+
 // Runs returns every request that the service ran, in order.
 func (s *Service) Runs() []Run {
 	s.mu.Lock()
@@ -134,6 +144,12 @@
 	if !ok {
 		return nil
 	}
+	s.mu.Lock()
+	failure := s.failure
+	s.mu.Unlock()
+	if failure != 0 {
+		return c.Status(failure).SendString(textFailure)
+	}
 	if a.booking.ID == "" {
 		return c.Status(a.status).SendString(textNotFound)
 	}
