gateway: a prefill stage that fails is no lost response

Found while looking at what counts as served; nobody saw it.

Cause: the client of targets reported a prefill stage with a status of failure as a lost connection. The gateway then ejected the engine as silent ("target ejected: no responses"), looked for a crash, and counted no failure, so that an engine that fails half of its prefills at once went on drawing them.

Change: such an error is ErrEngineFailed too, and counts as a failure of the engine as that of a run does. A response that breaks off or is none stays lost. What it means for the request is the same: the stage does not run it.

--- a/internal/gateway/attempt.go
+++ b/internal/gateway/attempt.go
@@ -48,7 +48,12 @@
 // unresponsive reports whether the target failed to respond although neither the deadline, the caller nor a lack of memory ended
 // the attempt.
 func (s sendResult) unresponsive() bool {
-	return s.err != nil && !s.canceled() && !errors.Is(s.err, waxwingpick.ErrEngineRefused) && !errors.Is(s.err, waxwingpick.ErrMemory)
+	for _, other := range []error{waxwingpick.ErrEngineRefused, waxwingpick.ErrEngineFailed, waxwingpick.ErrMemory} {
+		if errors.Is(s.err, other) {
+			return false
+		}
+	}
+	return s.err != nil && !s.canceled()
 }
 
 // canceled reports whether the attempt failed because its deadline passed or its caller disconnected.
@@ -79,7 +84,7 @@
 		return ejection.ResponseServed
 	case s.refusal == nil:
 		return ejection.ResponseRejected
-	case s.err == nil && s.reply.Status != 0 && !s.reply.NotRun:
+	case s.err == nil && s.reply.Status != 0 && !s.reply.NotRun, errors.Is(s.err, waxwingpick.ErrEngineFailed):
 		return ejection.ResponseFailed
 	}
 	return ejection.ResponseNone
--- a/internal/gateway/process_test.go
+++ b/internal/gateway/process_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"context"
+	"errors"
 	"testing"
 	"time"
 
@@ -145,3 +147,43 @@
 		require.Equal(t, []string{"target ejected: no responses", "target returned to service"}, messages, "engines: %v", engines)
 	}
 }
+
+// TestAnsweredFailureIsNoLostResponse guards against targets that are ejected as silent, and requests that are suspected of crashes, because
+// a target responded with a failure.
+func TestAnsweredFailureIsNoLostResponse(t *testing.T) {
+	replied := func(status int, notRun bool) sendResult {
+		x := &exchange{}
+		return x.classify(waxwingpick.Dispatched{
+			Status: status,
+			NotRun: notRun,
+		}, nil)
+	}
+	failed := func(errs ...error) sendResult {
+		return sendResult{
+			err:     errors.Join(errs...),
+			refusal: waxwingpick.Unknown(waxwingpick.ReasonTargetLost, ""),
+		}
+	}
+	for name, row := range map[string]struct {
+		result   sendResult
+		response ejection.Response
+		silent   bool
+	}{
+		"success":               {result: replied(200, false), response: ejection.ResponseServed},
+		"redirect":              {result: replied(302, false), response: ejection.ResponseServed},
+		"not found":             {result: replied(404, false), response: ejection.ResponseRejected},
+		"too many requests":     {result: replied(429, false), response: ejection.ResponseFailed},
+		"unavailable":           {result: replied(503, false), response: ejection.ResponseFailed},
+		"unavailable, stated":   {result: replied(503, true), response: ejection.ResponseNone},
+		"server error":          {result: replied(500, false), response: ejection.ResponseFailed},
+		"prefill failed":        {result: failed(waxwingpick.ErrEngineLost, waxwingpick.ErrEngineFailed), response: ejection.ResponseFailed},
+		"prefill refused":       {result: failed(waxwingpick.ErrEngineRefused), response: ejection.ResponseNone},
+		"lost":                  {result: failed(waxwingpick.ErrEngineLost), response: ejection.ResponseNone, silent: true},
+		"unreachable":           {result: failed(waxwingpick.ErrEngineUnreachable), response: ejection.ResponseNone, silent: true},
+		"deadline":              {result: failed(waxwingpick.ErrEngineLost, context.DeadlineExceeded), response: ejection.ResponseNone},
+		"no decode engine left": {result: sendResult{refusal: waxwingpick.NotRun(waxwingpick.ReasonNoTarget, 0, "")}, response: ejection.ResponseNone},
+	} {
+		require.Equal(t, row.response, row.result.response(), name)
+		require.Equal(t, row.silent, row.result.unresponsive(), name)
+	}
+}
