ejection: failures that are long past are forgotten

Each choice computes the shares of all targets. Without failures, or ten half- lives after the last one, they are zero now without an exponential.

--- a/core/ejection/failures.go
+++ b/core/ejection/failures.go
@@ -12,8 +12,9 @@
 	// rejectedMargin is by how much the share of rejected responses has to exceed that of other targets to count. Callers' errors are
 	// distributed by chance.
 	rejectedMargin = 0.25
-	// failuresHalfLife is the time in which both shares halve without further responses.
+	// failuresHalfLife is the time in which both shares halve without further responses, maxHalfLives when they are forgotten.
 	failuresHalfLife = time.Second
+	maxHalfLives     = 10
 )
 
 // Response is what became of a request that was sent to a target.
@@ -52,15 +53,19 @@
 	return f.rejected * f.fading(now)
 }
 
-// Share returns the share of requests that the target is expected to fail, where other targets of its service reject the share others
-// of the same requests.
+// Share returns the share of requests that the target is expected to fail. others is the least share of rejected requests among the
+// targets of its service.
 func (f *Failures) Share(now time.Time, others float64) float64 {
 	return f.failed*f.fading(now) + max(0, f.Rejected(now)-others-rejectedMargin)
 }
 
 // fading returns the factor of both shares.
 func (f *Failures) fading(now time.Time) float64 {
-	return math.Exp2(-max(0, now.Sub(f.at).Seconds()) / failuresHalfLife.Seconds())
+	halfLives := max(0, now.Sub(f.at).Seconds()/failuresHalfLife.Seconds())
+	if f.failed == 0 && f.rejected == 0 || halfLives > maxHalfLives {
+		return 0
+	}
+	return math.Exp2(-halfLives)
 }
 
 func average(share float64, counts bool, weight float64) float64 {
--- a/engine.go
+++ b/engine.go
@@ -18,7 +18,8 @@
 	ErrEventTruncated = eris.New("stream ended inside an event")
 	// ErrEndUnproven means that a response ended with its connection, and that its target is not known to have survived that.
 	ErrEndUnproven = eris.New("end of the response is not proven")
-	// ErrEngineFailed means that the engine responded with a failure, after which the request may have run. It is wrapped together with ErrEngineLost.
+	// ErrEngineFailed means that the engine responded with a failure, after which the request may have run. It comes with
+	// ErrEngineLost.
 	ErrEngineFailed = eris.New("engine responded with a failure")
 	// ErrEngineRefused means that the engine rejected the request without running it.
 	ErrEngineRefused = eris.New("engine refused the request")
