--- a/core/retry/retry_test.go
+++ b/core/retry/retry_test.go
@@ -34,7 +34,7 @@
 
 func attempt(t *rapid.T, now time.Time) retry.Attempt {
 	reasons := []waxwingpick.Reason{
-		waxwingpick.ReasonOverload, waxwingpick.ReasonLeaving, waxwingpick.ReasonTargetLost,
+		waxwingpick.ReasonOverload, waxwingpick.ReasonLeaving, waxwingpick.ReasonTargetLost, waxwingpick.ReasonUnstatedRefusal,
 		waxwingpick.ReasonTargetUnreachable, waxwingpick.ReasonRateLimit, waxwingpick.ReasonKeyReuse,
 	}
 	return retry.Attempt{
--- a/io/openai/openai_test.go
+++ b/io/openai/openai_test.go
@@ -174,6 +174,7 @@
 		{waxwingpick.NotRun(waxwingpick.ReasonKeyReuse, 0, ""), 422, "", ""},
 		{waxwingpick.NotRun(waxwingpick.ReasonWrongModel, 0, ""), 404, "", ""},
 		{waxwingpick.Unknown(waxwingpick.ReasonTargetLost, ""), 502, "1", ""},
+		{waxwingpick.Unknown(waxwingpick.ReasonUnstatedRefusal, ""), 502, "1", ""},
 	}
 	for _, tc := range cases {
 		t.Run(string(tc.refusal.Reason), func(t *testing.T) {
