--- a/internal/daemon/notrunstatus_test.go
+++ b/internal/daemon/notrunstatus_test.go
@@ -19,6 +19,12 @@
 // notRunFields are the fields of a target's response to the request "id".
 const notRunFields = "Waxwingpick-Request-Id: id\r\nWaxwingpick-Server-Stamp: stamp\r\nX-Own: v\r\nRetry-After: 0\r\nConnection: close\r\n"
 
+// Token counts of a prompt that is worth a separate prefill stage, and of one that is not.
+const (
+	longPrompt  = "30000,10"
+	shortPrompt = "500,10"
+)
+
 // notRunRequest is a kind of request that is sent to targets whose responses a test sets.
 type notRunRequest struct {
 	path   string
@@ -32,10 +38,10 @@
 	return map[string]notRunRequest{
 		"order":                   {path: "/order/1", sends: 1},
 		"read":                    {path: "/read/1", sends: 2},
-		"stream":                  {path: "/long/1", tokens: "500,10", sends: 1},
-		"prefilled stream":        {path: "/long/1", tokens: "30000,10", sends: 1},
-		"resumable stream":        {path: "/quick/1", tokens: "500,10", sends: 2},
-		"prefilled and resumable": {path: "/quick/1", tokens: "30000,10", sends: 2},
+		"stream":                  {path: "/long/1", tokens: shortPrompt, sends: 1},
+		"prefilled stream":        {path: "/long/1", tokens: longPrompt, sends: 1},
+		"resumable stream":        {path: "/quick/1", tokens: shortPrompt, sends: 2},
+		"prefilled and resumable": {path: "/quick/1", tokens: longPrompt, sends: 2},
 	}
 }
 
@@ -108,6 +114,7 @@
 					requireOwn(t, resp, body, waxwingpick.OutcomeUnknown, what)
 				}
 			}
+			require.Equal(t, r.tokens == longPrompt, s.engines[2].Prefills() > 0, "a separate prefill stage")
 		})
 	}
 }
